--- /dev/null
+++ b/lentilroad/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to systems outside lentilroad."""
--- /dev/null
+++ b/lentilroad/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/lentilroad/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes."""
--- /dev/null
+++ b/lentilroad/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, the sidecar directory and the shard map."""
--- /dev/null
+++ b/lentilroad/process/__init__.py
@@ -0,0 +1,1 @@
+"""Objects with process lifetime."""
--- /dev/null
+++ b/lentilroad/program/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: owner, standby, history and budget."""
--- /dev/null
+++ b/lentilroad/request/__init__.py
@@ -0,0 +1,1 @@
+"""Handling of one request."""
--- /dev/null
+++ b/lentilroad/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems."""
--- /dev/null
+++ b/lentilroad/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar's side of a call."""
--- /dev/null
+++ b/lentilroad/version/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration and its distribution."""
--- /dev/null
+++ b/lentilroad/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and handlers between lentilroad processes."""
--- /dev/null
+++ b/lentilroad/wire/messages.py
@@ -0,0 +1,478 @@
+"""Messages between lentilroad processes.
+
+Fields are only added, with a default, so that two releases understand each other.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Message(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Base of all messages."""
+
+
+class WireError(Message):
+    """An error in transit; see `lentilroad.errors`."""
+
+    code: str
+    message: str
+    outcome: Literal["not_run", "ran", "unknown"]
+    retry_after_ms: int | None = None
+
+
+class Budget(Message):
+    """Limits of a program tree; None means unlimited."""
+
+    tokens: int | None = None
+    money_micro: int | None = None
+    turns: int | None = None
+
+
+class Usage(Message):
+    """What a call consumed."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+    money_micro: int = 0
+
+
+class ChatMessage(Message):
+    """One message of a conversation."""
+
+    role: str
+    content: str
+    name: str | None = None
+    tool_call_id: str | None = None
+
+
+class OpenProgramRequest(Message):
+    """Open a program, or a sub-agent of `parent_program_id`."""
+
+    caller_id: str
+    program_id: str
+    parent_program_id: str | None = None
+    budget: Budget = msgspec.field(default_factory=Budget)
+    deadline_time_s: float | None = None
+
+
+class OpenProgramReply(Message):
+    """Answer to `OpenProgramRequest`."""
+
+    error: WireError | None = None
+
+
+class EndProgramRequest(Message):
+    """End or cancel a program and its sub-agents."""
+
+    caller_id: str
+    program_id: str
+    reason: Literal["ended", "cancelled"] = "ended"
+
+
+class EndProgramReply(Message):
+    """Answer to `EndProgramRequest`."""
+
+    error: WireError | None = None
+
+
+class ReadProgramRequest(Message):
+    """Read a program's state and history."""
+
+    caller_id: str
+    program_id: str
+    with_history: bool = False
+
+
+class ReadProgramReply(Message):
+    """State of a program."""
+
+    error: WireError | None = None
+    state: str = ""
+    turn_no: int = 0
+    budget: Budget = msgspec.field(default_factory=Budget)
+    spent: Usage = msgspec.field(default_factory=Usage)
+    reserved: Usage = msgspec.field(default_factory=Usage)
+    history: list[ChatMessage] = []
+
+
+class RunTurnRequest(Message):
+    """Run one turn or one service call of a program."""
+
+    caller_id: str
+    program_id: str
+    idempotency_key: str
+    kind: Literal["chat", "service"]
+    # Open the program on its first turn and end it after this turn.
+    single_turn: bool = False
+    model: str = ""
+    messages: list[ChatMessage] = []
+    # The messages are the whole conversation and not only what is new in it.
+    full_history: bool = False
+    max_tokens: int = 256
+    service: str = ""
+    operation: str = ""
+    payload: bytes = b""
+    deadline_time_s: float | None = None
+    interactive: bool = False
+    traceparent: str = ""
+
+
+class Admitted(Message, tag="admitted"):
+    """The call was dispatched; its output can be read from the sidecar."""
+
+    call_id: str
+    sidecar_address: str
+    offset: int = 0
+
+
+class Moved(Message, tag="moved"):
+    """The call goes on at another sidecar from `offset` characters on."""
+
+    call_id: str
+    sidecar_address: str
+    offset: int
+
+
+class Committed(Message, tag="committed"):
+    """The turn is part of the history; `text` or `payload` is the whole output."""
+
+    turn_no: int
+    usage: Usage
+    finish_reason: str
+    text: str = ""
+    payload: bytes = b""
+    payload_status: int = 200
+
+
+class Failed(Message, tag="failed"):
+    """The turn failed."""
+
+    error: WireError
+
+
+class TurnEvent(Message):
+    """Event of a turn, from the owner to the front."""
+
+    event: Admitted | Moved | Committed | Failed
+
+
+class Priority(Message):
+    """What the sidecar needs to order its queue."""
+
+    caller_id: str
+    attained_service_s: float = 0.0
+    program_started_time_s: float = 0.0
+    under_way: bool = False
+    interactive: bool = False
+    remaining_depth: int = 0
+
+
+class DispatchRequest(Message):
+    """Run a call at the sidecar's upstream."""
+
+    call_id: str
+    shard: str
+    epoch: int
+    program_id: str
+    caller_id: str
+    kind: Literal["chat", "service"]
+    idempotent: bool
+    priority: Priority
+    model: str = ""
+    messages: list[ChatMessage] = []
+    # Output that another upstream produced and that the caller has seen.
+    forced_prefix: str = ""
+    max_tokens: int = 256
+    service: str = ""
+    operation: str = ""
+    payload: bytes = b""
+    deadline_time_s: float | None = None
+    traceparent: str = ""
+
+
+class Queued(Message, tag="queued"):
+    """The sidecar accepted the call into its queue."""
+
+    position: int = 0
+
+
+class Started(Message, tag="started"):
+    """The call was sent to the upstream."""
+
+
+class Finished(Message, tag="finished"):
+    """The call ended at the upstream; `text` is the whole output."""
+
+    usage: Usage
+    finish_reason: str
+    text: str = ""
+    payload: bytes = b""
+    payload_status: int = 200
+    duration_s: float = 0.0
+
+
+class Refused(Message, tag="refused"):
+    """The call was refused or failed; `error.outcome` tells whether it ran.
+
+    `text` is the output up to the failure, so that a chat call can go on elsewhere.
+    """
+
+    error: WireError
+    text: str = ""
+
+
+class DispatchEvent(Message):
+    """Event of a call, from the sidecar to the owner."""
+
+    event: Queued | Started | Finished | Refused
+
+
+class AttachRequest(Message):
+    """Read a call's output from `offset` characters on."""
+
+    call_id: str
+    offset: int = 0
+
+
+class OutputChunk(Message):
+    """Part of a call's output; `offset` counts characters."""
+
+    offset: int
+    text: str
+    finished: bool = False
+    error: WireError | None = None
+
+
+class ReleaseRequest(Message):
+    """Drop a call's output after it was committed."""
+
+    call_id: str
+    shard: str
+    epoch: int
+
+
+class CancelRequest(Message):
+    """Cancel a call that nobody waits for."""
+
+    call_id: str
+    shard: str
+    epoch: int
+
+
+class ResolveRequest(Message):
+    """Ask what became of a call; a call never seen is blocked for good."""
+
+    call_id: str
+    shard: str
+    epoch: int
+    # Incarnation of the sidecar at dispatch; another one has lost its records.
+    incarnation: int = 0
+
+
+class ResolveReply(Message):
+    """Answer to `ResolveRequest`."""
+
+    state: Literal["done", "running", "never_seen", "unknown"]
+    finished: Finished | None = None
+    error: WireError | None = None
+
+
+class ForgetRequest(Message):
+    """Drop everything a program holds on the upstream."""
+
+    program_id: str
+    shard: str
+    epoch: int
+
+
+class ConfirmProgramsRequest(Message):
+    """Confirm programs that are still under way."""
+
+    shard: str
+    epoch: int
+    program_ids: list[str]
+
+
+class Acknowledged(Message):
+    """Answer without content; `error` is set when the request was refused."""
+
+    error: WireError | None = None
+
+
+class LoadReport(Message):
+    """Load of one upstream as its sidecar sees it."""
+
+    running: int = 0
+    queued: int = 0
+    limit: int = 1
+    cached_tokens: int = 0
+    cache_capacity_tokens: int = 0
+    prefill_tokens_per_s: float = 0.0
+    time_per_token_s: float = 0.0
+    queue_wait_s: float = 0.0
+
+
+class SidecarRecord(Message):
+    """Directory entry of one sidecar."""
+
+    address: str
+    upstream_id: str
+    kind: Literal["engine", "service"]
+    # Models of an engine, or names of services.
+    names: list[str]
+    region: str
+    availability_zone: str
+    incarnation: int
+    state: Literal["serving", "draining", "dead"] = "serving"
+    # Increases with every change of the record within one incarnation.
+    sequence: int = 0
+
+
+class SidecarHeartbeat(Message):
+    """Heartbeat of a sidecar to an entry."""
+
+    record: SidecarRecord
+    load: LoadReport
+    config_version: int = 0
+
+
+class SidecarHeartbeatReply(Message):
+    """Answer to a sidecar's heartbeat; carries what the sidecar lacks."""
+
+    entry_incarnation: int
+    config_version: int = 0
+    # Entries that the sidecar should report to.
+    home_entries: list[str] = []
+
+
+class PeerRecord(Message):
+    """State of one entry as gossiped."""
+
+    address: str
+    region: str
+    availability_zone: str
+    incarnation: int
+    state: Literal["alive", "suspect", "draining", "dead"] = "alive"
+    config_version: int = 0
+
+
+class PingRequest(Message):
+    """Probe of the membership protocol with piggybacked updates."""
+
+    sender: PeerRecord
+    # Set for an indirect probe: the receiver pings this address.
+    target_address: str | None = None
+    peers: list[PeerRecord] = []
+    sidecars: list[SidecarRecord] = []
+    # Shard map revision of each region, so that the receiver pulls newer ones.
+    shard_map_revisions: dict[str, int] = {}
+
+
+class PingReply(Message):
+    """Answer to `PingRequest`."""
+
+    alive: bool
+    peers: list[PeerRecord] = []
+    sidecars: list[SidecarRecord] = []
+    shard_map_revisions: dict[str, int] = {}
+
+
+class ShardRecord(Message):
+    """Who serves one shard. Values are entry addresses or empty."""
+
+    epoch: int
+    owner: str
+    standby: str = ""
+    arbiter: str = ""
+
+
+class ShardMap(Message):
+    """All shards of one region, stored as one value."""
+
+    region: str
+    revision: int
+    shards: list[ShardRecord]
+
+
+class PullShardMapRequest(Message):
+    """Ask a peer for its shard map of a region."""
+
+    region: str
+
+
+class PullShardMapReply(Message):
+    """Answer to `PullShardMapRequest`."""
+
+    shard_map: ShardMap | None = None
+
+
+class GrantRequest(Message):
+    """Ask the arbiter for the next epoch of a shard."""
+
+    shard: str
+    record: ShardRecord
+
+
+class GrantReply(Message):
+    """Answer to `GrantRequest`; `highest` is the newest record it knows."""
+
+    granted: bool
+    highest: ShardRecord | None = None
+
+
+class PairHeartbeat(Message):
+    """Heartbeat between entries that share shards."""
+
+    sender: str
+    incarnation: int
+    # Highest epoch of each shared shard as the sender knows it.
+    epochs: dict[str, int] = {}
+
+
+class ReplicateRequest(Message):
+    """Records of one shard from its owner to its standby, in order."""
+
+    shard: str
+    epoch: int
+    owner: str
+    # Encoded records; their types belong to the program package.
+    records: list[bytes]
+
+
+class ReplicateReply(Message):
+    """Answer to `ReplicateRequest`."""
+
+    accepted: bool
+    highest_epoch: int = 0
+    # Programs whose full state the standby needs before the records apply.
+    missing_program_ids: list[str] = []
+
+
+class ConfigDigestRequest(Message):
+    """Tell a peer the newest configuration version."""
+
+    version: int
+    head: bytes = b""
+
+
+class ConfigDigestReply(Message):
+    """Version that the peer has in force."""
+
+    version: int
+    head: bytes = b""
+
+
+class PullPartsRequest(Message):
+    """Ask for configuration parts by digest."""
+
+    digests: list[str]
+
+
+class PullPartsReply(Message):
+    """Parts that the peer holds."""
+
+    parts: dict[str, bytes]
