--- /dev/null
+++ b/lentilroad/process/tracing.py
@@ -0,0 +1,109 @@
+"""OpenTelemetry traces with one span per hop."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class JsonLinesExporter(SpanExporter):
+    """Append spans to a file, one JSON object a line."""
+
+    def __init__(self, *, path: Path) -> None:
+        self._file = path.open("a", encoding="utf-8", buffering=1)
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write a batch of spans."""
+        for span in spans:
+            self._file.write(json.dumps(json.loads(span.to_json())) + "\n")
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+class Tracing:
+    """Spans of one process.
+
+    Parameters
+    ----------
+    role : str
+        Role of the process; the service name of its spans.
+    otlp_endpoint : str or None
+        URL that receives spans by OTLP over HTTP.
+    span_file : Path or None
+        File that receives spans as JSON lines.
+    sample_ratio : float
+        Part of the traces without a sampled parent that are recorded, 0 to 1.
+    """
+
+    __slots__ = ("_enabled", "_provider", "_tracer")
+
+    def __init__(
+        self,
+        *,
+        role: str,
+        otlp_endpoint: str | None = None,
+        span_file: Path | None = None,
+        sample_ratio: float = 0.01,
+    ) -> None:
+        self._enabled = otlp_endpoint is not None or span_file is not None
+        self._provider = TracerProvider(
+            resource=Resource.create({"service.name": f"lentilroad-{role}"}),
+            sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
+            shutdown_on_exit=False,
+        )
+        if otlp_endpoint is not None:
+            exporter = OTLPSpanExporter(endpoint=otlp_endpoint, timeout=2)
+            self._provider.add_span_processor(BatchSpanProcessor(exporter))
+        if span_file is not None:
+            exporter = JsonLinesExporter(path=span_file)
+            self._provider.add_span_processor(BatchSpanProcessor(exporter))
+        self._tracer = self._provider.get_tracer("lentilroad")
+
+    @contextmanager
+    def span(self, name: str, traceparent: str) -> Iterator[str]:
+        """Record one hop and yield the traceparent for the next one.
+
+        Parameters
+        ----------
+        name : str
+            Name of the hop.
+        traceparent : str
+            W3C traceparent from the previous hop; empty starts a trace.
+        """
+        if not self._enabled:
+            yield traceparent
+            return
+        context = _PROPAGATOR.extract({"traceparent": traceparent})
+        with self._tracer.start_as_current_span(name, context=context) as span:
+            yield _traceparent(span)
+
+    def shutdown(self) -> None:
+        """Export what is buffered and stop."""
+        self._provider.shutdown()
+
+
+def _traceparent(span: Span) -> str:
+    context = span.get_span_context()
+    flags = int(context.trace_flags)
+    return f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
--- /dev/null
+++ b/lentilroad/request/body.py
@@ -0,0 +1,194 @@
+"""Parsing and checking of request bodies."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from lentilroad.errors import (
+    DeadlineExceededError,
+    InvalidRequestError,
+    RequestTooLargeError,
+)
+from lentilroad.request.const import (
+    BODY_TIMEOUT_S,
+    DEFAULT_COMPLETION_TOKENS,
+    MAX_BODY_BYTES,
+    MAX_COMPLETION_TOKENS,
+    MAX_JSON_DEPTH,
+    MAX_MESSAGES,
+)
+from lentilroad.wire.messages import Budget, ChatMessage
+
+Body = TypeVar("Body")
+
+
+class TextPart(msgspec.Struct, kw_only=True):
+    """Text part of a message's content."""
+
+    type: str
+    text: str = ""
+
+
+class ChatBodyMessage(msgspec.Struct, kw_only=True):
+    """One message of a chat completion request."""
+
+    role: str
+    content: str | list[TextPart] | None = None
+    name: str | None = None
+    tool_call_id: str | None = None
+
+
+class ChatBody(msgspec.Struct, kw_only=True):
+    """Body of ``POST /v1/chat/completions``; further keys are ignored."""
+
+    model: str
+    messages: list[ChatBodyMessage]
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+class OpenProgramBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/programs``."""
+
+    parent_program_id: str | None = None
+    budget: Budget = msgspec.field(default_factory=Budget)
+    deadline_ms: int | None = None
+
+
+class EndProgramBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/programs/{program_id}/end``."""
+
+    reason: str = "ended"
+
+
+def _check_depth(data: bytes) -> None:
+    # Counts brackets outside strings, so that no recursive parser sees deep input.
+    if data.count(b"[") + data.count(b"{") <= MAX_JSON_DEPTH:
+        return
+    depth = 0
+    in_string = False
+    escaped = False
+    for byte in data:
+        if in_string:
+            if escaped:
+                escaped = False
+            elif byte == 0x5C:
+                escaped = True
+            elif byte == 0x22:
+                in_string = False
+            continue
+        if byte == 0x22:
+            in_string = True
+        elif byte in b"[{":
+            depth += 1
+            if depth > MAX_JSON_DEPTH:
+                raise InvalidRequestError(
+                    f"the body is nested deeper than {MAX_JSON_DEPTH} levels; "
+                    "send a flatter document"
+                )
+        elif byte in b"]}":
+            depth -= 1
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Read a whole body within the size and time limits.
+
+    Raises
+    ------
+    RequestTooLargeError, DeadlineExceededError
+        The body is larger or slower than allowed.
+    """
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise RequestTooLargeError(
+            f"the body is larger than {MAX_BODY_BYTES} bytes; send only new messages "
+            "with 'Lentilroad-History: append'"
+        ) from None
+    except TimeoutError:
+        raise DeadlineExceededError(
+            f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s; send it again"
+        ) from None
+
+
+def parse_body(data: bytes, body_type: type[Body]) -> Body:
+    """Decode a JSON body into its type.
+
+    Raises
+    ------
+    InvalidRequestError
+        The body is not JSON or does not match; the message names the key.
+    """
+    _check_depth(data)
+    try:
+        return msgspec.json.decode(data or b"{}", type=body_type)
+    except msgspec.ValidationError as error:
+        raise InvalidRequestError(
+            f"the body does not match: {error}; see docs/api.md"
+        ) from None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidRequestError(
+            f"the body is not valid JSON: {error}; send UTF-8 JSON"
+        ) from None
+
+
+def _content_text(message: ChatBodyMessage, position: int) -> str:
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    for part in message.content:
+        if part.type != "text":
+            raise InvalidRequestError(
+                f"messages[{position}].content has a part of type {part.type!r}; "
+                "only text parts are accepted"
+            )
+    return "".join(part.text for part in message.content)
+
+
+def chat_messages(body: ChatBody) -> list[ChatMessage]:
+    """Convert the messages of a body to wire messages.
+
+    Raises
+    ------
+    InvalidRequestError
+        There are no messages, too many, or a part is not text.
+    """
+    if not body.messages:
+        raise InvalidRequestError("messages is empty; send at least one message")
+    if len(body.messages) > MAX_MESSAGES:
+        raise InvalidRequestError(
+            f"messages has {len(body.messages)} items; send at most {MAX_MESSAGES}"
+        )
+    return [
+        ChatMessage(
+            role=message.role,
+            content=_content_text(message, position),
+            name=message.name,
+            tool_call_id=message.tool_call_id,
+        )
+        for position, message in enumerate(body.messages)
+    ]
+
+
+def completion_limit(body: ChatBody) -> int:
+    """Return the largest number of tokens that the answer may have.
+
+    Raises
+    ------
+    InvalidRequestError
+        The requested limit is out of range.
+    """
+    limit = body.max_completion_tokens or body.max_tokens or DEFAULT_COMPLETION_TOKENS
+    if not 1 <= limit <= MAX_COMPLETION_TOKENS:
+        raise InvalidRequestError(
+            f"max_tokens is {limit}; use 1 to {MAX_COMPLETION_TOKENS}"
+        )
+    return limit
--- /dev/null
+++ b/lentilroad/request/const.py
@@ -0,0 +1,27 @@
+"""Names and limits of the callers' HTTP interface."""
+
+from __future__ import annotations
+
+HEADER_PROGRAM_ID = "Lentilroad-Program-Id"
+HEADER_PARENT_PROGRAM_ID = "Lentilroad-Parent-Program-Id"
+HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
+HEADER_DEADLINE_MS = "Lentilroad-Deadline-Ms"
+HEADER_HISTORY = "Lentilroad-History"
+HEADER_INTERACTIVE = "Lentilroad-Interactive"
+HEADER_RESUME_OFFSET = "Last-Event-ID"
+HISTORY_APPEND = "append"
+HISTORY_FULL = "full"
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_JSON_DEPTH = 32
+MAX_HEADER_BYTES = 16 * 1024
+MAX_MESSAGES = 4096
+MAX_COMPLETION_TOKENS = 32_768
+DEFAULT_COMPLETION_TOKENS = 256
+MAX_KEY_CHARACTERS = 200
+BODY_TIMEOUT_S = 15.0
+DEFAULT_DEADLINE_S = 600.0
+# A caller that reads nothing for this long is disconnected; its turn still commits.
+WRITE_TIMEOUT_S = 60.0
+OWNER_RETRY_DELAY_S = 0.1
+ATTACH_RETRY_DELAY_S = 0.1
