--- /dev/null
+++ b/lentilroad/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load: seeded agent programs and a client that drives them."""
--- /dev/null
+++ b/lentilroad/load/client.py
@@ -0,0 +1,294 @@
+"""HTTP client that runs agent programs as their callers do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from lentilroad.clock import Clock
+from lentilroad.load.results import LATE_FIRST_TOKEN_S, ProgramResult
+from lentilroad.load.workloads import AgentProgram, Operation, Turn
+from lentilroad.request.const import (
+    HEADER_HISTORY,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_INTERACTIVE,
+    HEADER_PROGRAM_ID,
+    HEADER_RESUME_OFFSET,
+    HISTORY_APPEND,
+)
+
+MAX_TRIES = 40
+RETRY_DELAY_S = 0.25
+REQUEST_TIMEOUT_S = 60.0
+CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, ConnectionError)
+
+
+class ProgramRefused(Exception):
+    """The system refused the program for good."""
+
+
+class ProgramFailed(Exception):
+    """A request ended in an error that no retry can mend."""
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadClient:
+    """Connection to one or more entries, as a balancer would spread it.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        HTTP session.
+    base_urls : list of str
+        Addresses of entries; each try takes one at random.
+    key : str
+        The caller's key.
+    clock : Clock
+        Source of time.
+    random_source : random.Random
+        Chooses entries and jitter.
+    expected_answer : callable or None
+        Returns the text that the engine must have produced for a prompt, a list of
+        (role, content) pairs and a token limit; None skips the check.
+    """
+
+    session: aiohttp.ClientSession
+    base_urls: list[str]
+    key: str
+    clock: Clock
+    random_source: random.Random
+    expected_answer: Callable[[list[tuple[str, str]], int], str] | None = None
+
+    def _url(self, path: str) -> str:
+        return self.random_source.choice(self.base_urls) + path
+
+    def _headers(self, extra: dict[str, str]) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self.key}", **extra}
+
+    async def _pause(self, retry_after_ms: int | None) -> None:
+        delay_s = (retry_after_ms or RETRY_DELAY_S * 1000) / 1000
+        await self.clock.sleep(delay_s * self.random_source.uniform(0.8, 1.2))
+
+    async def post(
+        self, path: str, body: Any, headers: dict[str, str], result: ProgramResult
+    ) -> bytes:
+        """Send a request until it is answered.
+
+        Raises
+        ------
+        ProgramRefused, ProgramFailed
+            The answer is an error without a useful retry.
+        """
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        for _ in range(MAX_TRIES):
+            try:
+                async with self.session.post(
+                    self._url(path),
+                    data=msgspec.json.encode(body),
+                    headers=self._headers(headers),
+                    timeout=timeout,
+                ) as response:
+                    data = await response.read()
+                    status = response.status
+            except CONNECTION_ERRORS:
+                result.retries += 1
+                await self._pause(None)
+                continue
+            if status < 400:
+                return data
+            await self._handle_error(data, result)
+        raise ProgramFailed(f"{path} was not answered after {MAX_TRIES} tries")
+
+    async def _handle_error(self, data: bytes, result: ProgramResult) -> None:
+        error = msgspec.json.decode(data)["error"]
+        if error["outcome"] == "unknown" and not error["retry"]:
+            result.unknown_outcomes += 1
+            raise ProgramFailed(f"{error['code']}: {error['message']}")
+        if not error["retry"]:
+            raise ProgramRefused(f"{error['code']}: {error['message']}")
+        result.refusals += error["outcome"] == "not_run"
+        result.retries += 1
+        await self._pause(error["retry_after_ms"])
+
+    async def run(self, program: AgentProgram) -> ProgramResult:
+        """Run a whole program and its sub-agents."""
+        result = ProgramResult(name=program.name)
+        started_s = self.clock.monotonic_s()
+        try:
+            await self._run_steps(program, None, result)
+            result.state = "completed"
+        except ProgramRefused as error:
+            result.state = "refused"
+            result.problems.append(str(error))
+        except ProgramFailed as error:
+            result.state = "failed"
+            result.problems.append(str(error))
+        result.latency_s = self.clock.monotonic_s() - started_s
+        return result
+
+    async def _run_steps(
+        self, program: AgentProgram, parent_id: str | None, result: ProgramResult
+    ) -> None:
+        body: dict[str, Any] = {"parent_program_id": parent_id}
+        if parent_id is None and program.budget_tokens:
+            body["budget"] = {"tokens": program.budget_tokens}
+        opened = msgspec.json.decode(await self.post("/v1/programs", body, {}, result))
+        result.program_id = opened["program_id"]
+        for number, step in enumerate(program.steps):
+            if isinstance(step, Turn):
+                await self._run_turn(program, step, number, result)
+            elif isinstance(step, Operation):
+                await self._run_operation(step, result)
+            else:
+                await self._run_sub_agents(step, result)
+        await self._check_history(result)
+        await self.post(f"/v1/programs/{result.program_id}/end", {}, {}, result)
+
+    async def _run_sub_agents(
+        self, programs: list[AgentProgram], result: ProgramResult
+    ) -> None:
+        children = [ProgramResult(name=program.name) for program in programs]
+        await asyncio.gather(
+            *(
+                self._run_steps(program, result.program_id, child)
+                for program, child in zip(programs, children, strict=True)
+            )
+        )
+        for child in children:
+            result.turns += child.turns
+            result.late_turns += child.late_turns
+            result.tokens += child.tokens
+            result.retries += child.retries
+            result.refusals += child.refusals
+            result.problems += child.problems
+            result.confirmed_references += child.confirmed_references
+            result.first_token_s += child.first_token_s
+
+    async def _run_operation(self, step: Operation, result: ProgramResult) -> None:
+        await self.clock.sleep(step.pause_s)
+        headers = {
+            HEADER_PROGRAM_ID: result.program_id,
+            HEADER_IDEMPOTENCY_KEY: step.reference,
+        }
+        path = f"/v1/services/{step.service}/{step.operation}"
+        try:
+            await self.post(path, {"reference": step.reference}, headers, result)
+        except ProgramRefused:
+            result.not_run_references.append(step.reference)
+            raise
+        result.confirmed_references.append(step.reference)
+
+    async def _run_turn(
+        self, program: AgentProgram, step: Turn, number: int, result: ProgramResult
+    ) -> None:
+        result.conversation.append(("user", step.prompt))
+        headers = {
+            HEADER_PROGRAM_ID: result.program_id,
+            HEADER_IDEMPOTENCY_KEY: f"turn-{number}",
+            HEADER_HISTORY: HISTORY_APPEND,
+            HEADER_INTERACTIVE: "true" if program.interactive else "false",
+        }
+        body = {
+            "model": program.model,
+            "stream": True,
+            "max_tokens": step.max_tokens,
+            "messages": [{"role": "user", "content": step.prompt}],
+            "stream_options": {"include_usage": True},
+        }
+        text = await self._stream(body, headers, result)
+        result.turns += 1
+        if self.expected_answer is not None:
+            expected = self.expected_answer(result.conversation, step.max_tokens)
+            if text != expected:
+                result.problems.append(
+                    f"turn {number}: the answer differs from what the engine produced"
+                )
+        result.conversation.append(("assistant", text))
+
+    async def _stream(
+        self, body: Any, headers: dict[str, str], result: ProgramResult
+    ) -> str:
+        """Read a streamed answer, resumed after lost connections."""
+        text = ""
+        started_s = self.clock.monotonic_s()
+        first_token_s: float | None = None
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        for _ in range(MAX_TRIES):
+            resume = {HEADER_RESUME_OFFSET: str(len(text))}
+            try:
+                async with self.session.post(
+                    self._url("/v1/chat/completions"),
+                    data=msgspec.json.encode(body),
+                    headers=self._headers({**headers, **resume}),
+                    timeout=timeout,
+                ) as response:
+                    if response.status >= 400:
+                        await self._handle_error(await response.read(), result)
+                        continue
+                    async for line in response.content:
+                        if not line.startswith(b"data: "):
+                            continue
+                        if line == b"data: [DONE]\n":
+                            self._record_first_token(result, first_token_s)
+                            return text
+                        piece = self._piece(line, result)
+                        if piece and first_token_s is None:
+                            first_token_s = self.clock.monotonic_s() - started_s
+                        text += piece
+            except CONNECTION_ERRORS:
+                pass
+            result.retries += 1
+            await self._pause(None)
+        raise ProgramFailed(f"a turn was not answered after {MAX_TRIES} tries")
+
+    def _piece(self, line: bytes, result: ProgramResult) -> str:
+        event = msgspec.json.decode(line[6:])
+        if "error" in event:
+            error = event["error"]
+            raise ProgramFailed(f"{error['code']}: {error['message']}")
+        usage = event.get("usage")
+        if usage:
+            result.tokens += usage["completion_tokens"]
+        return "".join(
+            choice["delta"].get("content") or "" for choice in event["choices"]
+        )
+
+    @staticmethod
+    def _record_first_token(result: ProgramResult, first_token_s: float | None) -> None:
+        if first_token_s is None:
+            return
+        result.first_token_s.append(first_token_s)
+        result.late_turns += first_token_s > LATE_FIRST_TOKEN_S
+
+    async def _check_history(self, result: ProgramResult) -> None:
+        """Compare the stored conversation with the one that took place."""
+        path = f"/v1/programs/{result.program_id}?history=true"
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        for _ in range(MAX_TRIES):
+            try:
+                async with self.session.get(
+                    self._url(path), headers=self._headers({}), timeout=timeout
+                ) as response:
+                    data = await response.read()
+                    status = response.status
+            except CONNECTION_ERRORS:
+                await self._pause(None)
+                continue
+            if status >= 400:
+                await self._handle_error(data, result)
+                continue
+            program = msgspec.json.decode(data)
+            stored = [
+                (message["role"], message["content"])
+                for message in program.get("history", [])
+            ]
+            if stored != result.conversation:
+                result.problems.append("the stored history differs from the program's")
+            return
+        raise ProgramFailed("the program could not be read")
