Add the scheduling policy: routing, queue, concurrency, limits, retry, breaker

Cause: owners and sidecars need the policy as plain functions over explicit inputs before they can be connected.

--- /dev/null
+++ b/lentilroad/request/const.py
@@ -0,0 +1,72 @@
+"""Constants of the scheduling policy."""
+
+from __future__ import annotations
+
+# Two random candidates already remove most of the imbalance of a random choice;
+# four also cover the case that one of them is dead or draining.
+RANDOM_CANDIDATES = 4
+# A report is trusted fully while fresh and loses half of its weight per half-life.
+REPORT_HALF_LIFE_S = 2.0
+# One way, from the platform's description.
+ZONE_LATENCY_S = 0.001
+REGION_LATENCY_S = 0.012
+DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
+DEFAULT_TIME_PER_TOKEN_S = 0.03
+DEFAULT_OUTPUT_TOKENS = 200
+BYTES_PER_TOKEN = 4
+
+PREFIX_RECORDS_MAX = 50_000
+PREFIX_HOLDERS_MAX = 4
+
+QUEUE_CALLS_MAX = 512
+# New programs are refused once the queue is this full, so that the rest stays
+# for programs under way.
+NEW_PROGRAM_QUEUE_SHARE = 0.25
+# A new program that would wait longer than this is refused at once.
+NEW_PROGRAM_WAIT_MAX_S = 5.0
+# Attained service counts up to this many seconds; it bounds the extra wait of a
+# long program and so rules out starvation.
+ATTAINED_SERVICE_CAP_S = 30.0
+ATTAINED_SERVICE_WEIGHT = 0.1
+NEW_PROGRAM_DELAY_S = 2.0
+INTERACTIVE_ADVANCE_S = 2.0
+DEPTH_ADVANCE_S = 0.5
+SERVICE_EWMA_WEIGHT = 0.1
+DEFAULT_SERVICE_S = 1.0
+RETRY_AFTER_MIN_MS = 200
+RETRY_AFTER_MAX_MS = 30_000
+
+# p95 target of the time between tokens.
+TIME_PER_TOKEN_TARGET_S = 0.053
+CONCURRENCY_INITIAL = 16
+CONCURRENCY_MIN = 1
+CONCURRENCY_MAX = 512
+CONCURRENCY_WINDOW_S = 1.0
+CONCURRENCY_DECREASE = 0.9
+# First-token time beyond the expected prefill that counts as engine queueing.
+ENGINE_QUEUE_TARGET_S = 0.5
+
+RETRY_RATIO = 0.1
+RETRY_CONSTANT_PER_S = 1.0
+RETRY_BALANCE_MAX = 100.0
+BACKOFF_BASE_S = 0.05
+BACKOFF_CAP_S = 5.0
+
+BREAKER_FAILURES = 5
+BREAKER_OPEN_S = 2.0
+BREAKER_OPEN_MAX_S = 30.0
+# Silence on an upstream with calls in flight that counts as a hang.
+BREAKER_HANG_S = 5.0
+
+FAIRNESS_SLACK_S = 10.0
+LATE_CHECK_INTERVAL_S = 0.25
+
+# Time per token of a nearly empty batch relative to a full one.
+EMPTY_BATCH_SHARE = 0.35
+REBUILD_WEIGHT = 1.0
+
+# Value of one second of a program's latency against the price of billed traffic.
+VALUE_MICRO_PER_S = 1_000.0
+PRICE_MICRO_PER_BYTE = 0.02
+CROSS_REGION_BYTES_PER_S = 200_000.0
+CROSS_REGION_BURST_S = 10.0
--- /dev/null
+++ b/lentilroad/request/routing.py
@@ -0,0 +1,195 @@
+"""Choice of the upstream for one call."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from lentilroad.request import const
+from lentilroad.request.traffic import CrossRegionTraffic
+from lentilroad.wire.messages import LoadReport, SidecarRecord
+
+
+@dataclass(slots=True, kw_only=True)
+class Candidate:
+    """What the owner knows about one upstream at the time of the choice."""
+
+    record: SidecarRecord
+    load: LoadReport
+    report_age_s: float
+    # Calls that this owner sent there and that have not ended.
+    in_flight: int = 0
+    # Those of them that the last report cannot include yet.
+    sent_since_report: int = 0
+    # Tokens of the prompt that are cached there by the owner's own record.
+    cached_tokens: int = 0
+    # Prompt tokens sent by this owner that are still to be computed there.
+    pending_prefill_tokens: int = 0
+    breaker_allows: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class CallShape:
+    """Size and origin of the call; `region` and zone are the owner's."""
+
+    caller_id: str
+    region: str
+    availability_zone: str
+    prompt_tokens: int = 0
+    output_tokens: int = const.DEFAULT_OUTPUT_TOKENS
+
+
+@dataclass(slots=True, kw_only=True)
+class Choice:
+    """The chosen upstream and the estimate that the choice is based on."""
+
+    record: SidecarRecord
+    estimate_s: float
+    cached_tokens: int
+    # Bytes over a billed link, 0 within the region.
+    billed_bytes: int = 0
+
+
+def candidate_set(
+    *,
+    holders: Mapping[str, int],
+    pool: Sequence[str],
+    random: Random,
+    draws: int = const.RANDOM_CANDIDATES,
+) -> list[str]:
+    """Return the holders of the prefix plus a few random upstreams.
+
+    The cost depends on `draws` and not on the size of the pool.
+
+    Parameters
+    ----------
+    holders : Mapping of str to int
+        Cached tokens by address.
+    pool : Sequence of str
+        Addresses of all upstreams of the model in the region.
+    random : Random
+        Source of the draws.
+    draws : int
+        Number of random upstreams.
+
+    Returns
+    -------
+    list of str
+        Distinct addresses. Holders may lie outside the pool.
+    """
+    addresses = dict.fromkeys(holders)
+    if len(pool) <= 2 * draws:
+        addresses.update(dict.fromkeys(pool))
+        return list(addresses)
+    for _ in range(draws):
+        addresses[pool[int(random.random() * len(pool))]] = None
+    return list(addresses)
+
+
+def estimate_s(candidate: Candidate, call: CallShape) -> float:
+    """Return the expected time until the call has finished at the candidate.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The upstream.
+    call : CallShape
+        The call.
+
+    Returns
+    -------
+    float
+        Queue wait, prefill, decoding and distance, in seconds.
+    """
+    load = candidate.load
+    trust = 0.5 ** (candidate.report_age_s / const.REPORT_HALF_LIFE_S)
+    own = candidate.in_flight
+    reported = load.running + load.queued + candidate.sent_since_report
+    # An old report says little; the calls that the owner sent are certain.
+    outstanding = max(own, trust * reported + (1.0 - trust) * own)
+    limit = max(1, load.limit)
+    fill = min(1.0, outstanding / limit)
+    # The limit is where the time between tokens reaches its target.
+    time_per_token_s = const.TIME_PER_TOKEN_TARGET_S * (
+        const.EMPTY_BATCH_SHARE + (1.0 - const.EMPTY_BATCH_SHARE) * fill
+    )
+    rate = load.prefill_tokens_per_s or const.DEFAULT_PREFILL_TOKENS_PER_S
+    uncached = max(0, call.prompt_tokens - candidate.cached_tokens)
+    prefill_s = (uncached + candidate.pending_prefill_tokens) / rate
+    # Recomputation also delays the other calls of the batch.
+    rebuild_s = const.REBUILD_WEIGHT * uncached / rate
+    decode_s = call.output_tokens * time_per_token_s
+    waiting = max(0.0, outstanding + 1.0 - limit)
+    wait_s = waiting * (decode_s + prefill_s) / limit
+    return wait_s + prefill_s + rebuild_s + decode_s + _distance_s(candidate, call)
+
+
+def choose_upstream(
+    *,
+    candidates: Iterable[Candidate],
+    call: CallShape,
+    traffic: CrossRegionTraffic | None = None,
+) -> Choice | None:
+    """Return the candidate with the lowest estimate.
+
+    A candidate of another region is chosen only if the region has no healthy one
+    or if the gain is worth more than the billed traffic and the volume allows it.
+
+    Parameters
+    ----------
+    candidates : Iterable of Candidate
+        The upstreams to choose from.
+    call : CallShape
+        The call.
+    traffic : CrossRegionTraffic, optional
+        Price and volume bound; None forbids other regions unless the own one has
+        no healthy candidate.
+
+    Returns
+    -------
+    Choice or None
+        None when no candidate is healthy.
+    """
+    local: tuple[float, Candidate] | None = None
+    remote: tuple[float, Candidate] | None = None
+    for candidate in candidates:
+        if candidate.record.state != "serving" or not candidate.breaker_allows:
+            continue
+        cost_s = estimate_s(candidate, call)
+        if candidate.record.region == call.region:
+            if local is None or cost_s < local[0]:
+                local = (cost_s, candidate)
+        elif remote is None or cost_s < remote[0]:
+            remote = (cost_s, candidate)
+    if remote is None:
+        return None if local is None else _choice(local, 0)
+    size_bytes = const.BYTES_PER_TOKEN * (call.prompt_tokens + call.output_tokens)
+    if local is None:
+        if traffic is not None:
+            traffic.spend(call.caller_id, size_bytes=size_bytes)
+        return _choice(remote, size_bytes)
+    if traffic is None or not traffic.try_spend(
+        call.caller_id, size_bytes=size_bytes, gain_s=local[0] - remote[0]
+    ):
+        return _choice(local, 0)
+    return _choice(remote, size_bytes)
+
+
+def _choice(found: tuple[float, Candidate], billed_bytes: int) -> Choice:
+    cost_s, candidate = found
+    return Choice(
+        record=candidate.record,
+        estimate_s=cost_s,
+        cached_tokens=candidate.cached_tokens,
+        billed_bytes=billed_bytes,
+    )
+
+
+def _distance_s(candidate: Candidate, call: CallShape) -> float:
+    record = candidate.record
+    if record.region != call.region:
+        return 2.0 * const.REGION_LATENCY_S
+    if record.availability_zone != call.availability_zone:
+        return 2.0 * const.ZONE_LATENCY_S
+    return 0.0
--- /dev/null
+++ b/tests/request/test_queue.py
@@ -0,0 +1,159 @@
+"""Guard against a queue that starves, reorders or holds calls too long."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilroad.errors import OverloadedError
+from lentilroad.request.concurrency import ConcurrencyLimit
+from lentilroad.request.queue import CallQueue, QueueSettings
+from lentilroad.wire.messages import Priority
+from tests.fakes.clock import ManualClock
+
+
+def make_queue(*, limit=1, **settings):
+    """Return a clock and a queue with a fixed concurrency limit."""
+    clock = ManualClock()
+    concurrency = ConcurrencyLimit(
+        clock=clock, initial=limit, minimum=limit, maximum=limit
+    )
+    queue = CallQueue(
+        clock=clock, concurrency=concurrency, settings=QueueSettings(**settings)
+    )
+    return clock, queue
+
+
+def priority(caller="a", under_way=True, **fields):
+    """Return the priority of a program under way."""
+    return Priority(caller_id=caller, under_way=under_way, **fields)
+
+
+def drain(clock, queue, service_s=1.0):
+    """Run every waiting call, one after the other; return them in order."""
+    order = []
+    while (call := queue.pop_ready()) is not None:
+        order.append(call)
+        clock.now_s += service_s
+        queue.finished(call, service_s=service_s)
+    return order
+
+
+def test_slots_are_bounded_by_the_limit():
+    """More calls than the limit must never run at once."""
+    _, queue = make_queue(limit=2)
+    for name in ("x", "y", "z"):
+        queue.push(name, priority=priority())
+    assert queue.pop_ready() == "x"
+    assert queue.pop_ready() == "y"
+    assert queue.pop_ready() is None
+    queue.finished("x", service_s=1.0)
+    assert queue.pop_ready() == "z"
+
+
+def test_program_under_way_runs_before_new_program():
+    """A new program must not delay a program under way."""
+    clock, queue = make_queue()
+    queue.push("new", priority=priority(under_way=False))
+    queue.push("old", priority=priority())
+    assert drain(clock, queue) == ["old", "new"]
+
+
+def test_waiting_call_ages_past_later_arrivals():
+    """A call of a long program must not wait for ever behind short ones."""
+    clock, queue = make_queue()
+    queue.push("long", priority=priority(attained_service_s=10_000.0))
+    served = []
+    for number in range(40):
+        queue.push(f"short{number}", priority=priority())
+        call = queue.pop_ready()
+        served.append(call)
+        clock.now_s += 1.0
+        queue.finished(call, service_s=1.0)
+    assert "long" in served
+
+
+def test_earlier_deadline_runs_first():
+    """A close deadline must overtake an earlier arrival without one."""
+    clock, queue = make_queue()
+    queue.push("loose", priority=priority(attained_service_s=30.0))
+    clock.now_s = 1.0
+    queue.push("tight", priority=priority(attained_service_s=30.0), deadline_s=3.5)
+    assert drain(clock, queue)[0] == "tight"
+
+
+def test_call_that_cannot_meet_its_deadline_is_refused_at_once():
+    """A hopeless call must not be held until its deadline."""
+    _, queue = make_queue()
+    for number in range(10):
+        queue.push(f"call{number}", priority=priority())
+    with pytest.raises(OverloadedError) as refused:
+        queue.push("late", priority=priority(), deadline_s=3.0)
+    assert refused.value.outcome == "not_run"
+    assert refused.value.retry_after_ms > 0
+
+
+def test_call_on_an_idle_upstream_runs_in_spite_of_a_short_deadline():
+    """A mean service time must not shut out short calls for good."""
+    clock, queue = make_queue()
+    queue.push("slow", priority=priority())
+    queue.pop_ready()
+    queue.finished("slow", service_s=100.0)
+    queue.push("quick", priority=priority(), deadline_s=clock.now_s + 2.0)
+    assert queue.pop_ready() == "quick"
+
+
+def test_waiting_call_is_refused_when_it_becomes_hopeless():
+    """A wait that grows must be answered before the deadline."""
+    clock, queue = make_queue()
+    queue.push("running", priority=priority())
+    queue.pop_ready()
+    queue.push("waiting", priority=priority(), deadline_s=6.0)
+    clock.now_s = 5.5
+    [(call, error)] = queue.take_refused()
+    assert call == "waiting"
+    assert error.outcome == "not_run"
+    assert len(queue) == 0
+
+
+def test_new_programs_are_refused_before_programs_under_way():
+    """Overload must be met by refusing new programs first."""
+    _, queue = make_queue(calls_max=8, new_program_wait_max_s=1e9)
+    for number in range(2):
+        queue.push(f"n{number}", priority=priority(under_way=False))
+    with pytest.raises(OverloadedError):
+        queue.push("n2", priority=priority(under_way=False))
+    for number in range(6):
+        queue.push(f"u{number}", priority=priority())
+    queue.push("u6", priority=priority())
+    [(call, _)] = queue.take_refused()
+    assert call == "n1"
+
+
+def test_callers_share_the_upstream():
+    """A caller with many calls must not delay another caller's few calls."""
+    clock, queue = make_queue(fairness_slack_s=1.0)
+    for number in range(50):
+        queue.push(f"many{number}", priority=priority("big"))
+    for number in range(3):
+        queue.push(f"few{number}", priority=priority("small"))
+    order = drain(clock, queue)
+    assert max(order.index(f"few{number}") for number in range(3)) < 10
+
+
+def test_cancelled_call_is_not_popped():
+    """A cancelled call must not reach the upstream."""
+    clock, queue = make_queue()
+    queue.push("x", priority=priority())
+    queue.push("y", priority=priority())
+    assert queue.remove("x")
+    assert not queue.remove("x")
+    assert drain(clock, queue) == ["y"]
+
+
+def test_hang_refuses_every_waiting_call():
+    """Calls in front of a hung upstream must get their answer at once."""
+    _, queue = make_queue()
+    queue.push("x", priority=priority())
+    queue.push("y", priority=priority("b"))
+    queue.refuse_all("the upstream hangs")
+    assert {call for call, _ in queue.take_refused()} == {"x", "y"}
