--- a/lentilroad/load/client.py
+++ b/lentilroad/load/client.py
@@ -14,7 +14,7 @@
 from lentilroad.clock import Clock
 from lentilroad.load.results import LATE_FIRST_TOKEN_S, ProgramResult
 from lentilroad.load.workloads import AgentProgram, Operation, Turn
-from lentilroad.request.const import (
+from lentilroad.request.http_const import (
     HEADER_HISTORY,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_INTERACTIVE,
--- a/lentilroad/request/body.py
+++ b/lentilroad/request/body.py
@@ -13,7 +13,7 @@
     InvalidRequestError,
     RequestTooLargeError,
 )
-from lentilroad.request.const import (
+from lentilroad.request.http_const import (
     BODY_TIMEOUT_S,
     DEFAULT_COMPLETION_TOKENS,
     MAX_BODY_BYTES,
--- a/lentilroad/request/chat.py
+++ b/lentilroad/request/chat.py
@@ -15,7 +15,15 @@
     parse_body,
     read_body,
 )
-from lentilroad.request.const import (
+from lentilroad.request.context import (
+    CONTEXT,
+    FrontContext,
+    authenticate,
+    deadline_time_s,
+    idempotency_key,
+    program_id,
+)
+from lentilroad.request.http_const import (
     HEADER_HISTORY,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_INTERACTIVE,
@@ -25,14 +33,6 @@
     HISTORY_FULL,
     WRITE_TIMEOUT_S,
 )
-from lentilroad.request.context import (
-    CONTEXT,
-    FrontContext,
-    authenticate,
-    deadline_time_s,
-    idempotency_key,
-    program_id,
-)
 from lentilroad.request.relay import RelayPosition, relay_turn
 from lentilroad.request.responses import (
     ChunkFormatter,
--- a/lentilroad/request/context.py
+++ b/lentilroad/request/context.py
@@ -13,7 +13,7 @@
 from lentilroad.errors import InvalidRequestError, UnauthenticatedError
 from lentilroad.process.metrics import Metrics
 from lentilroad.process.tracing import Tracing
-from lentilroad.request.const import (
+from lentilroad.request.http_const import (
     DEFAULT_DEADLINE_S,
     HEADER_DEADLINE_MS,
     HEADER_IDEMPOTENCY_KEY,
--- a/lentilroad/request/http.py
+++ b/lentilroad/request/http.py
@@ -15,8 +15,8 @@
     RequestTooLargeError,
 )
 from lentilroad.request import chat, programs
-from lentilroad.request.const import MAX_BODY_BYTES
 from lentilroad.request.context import CONTEXT, FrontContext
+from lentilroad.request.http_const import MAX_BODY_BYTES
 from lentilroad.request.responses import error_response
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
--- a/lentilroad/request/programs.py
+++ b/lentilroad/request/programs.py
@@ -11,7 +11,6 @@
     parse_body,
     read_body,
 )
-from lentilroad.request.const import HEADER_IDEMPOTENCY_KEY, HEADER_PROGRAM_ID
 from lentilroad.request.context import (
     CONTEXT,
     authenticate,
@@ -19,6 +18,7 @@
     idempotency_key,
     program_id,
 )
+from lentilroad.request.http_const import HEADER_IDEMPOTENCY_KEY, HEADER_PROGRAM_ID
 from lentilroad.request.relay import RelayPosition, relay_turn
 from lentilroad.request.responses import json_response
 from lentilroad.wire import messages as m
--- a/lentilroad/request/relay.py
+++ b/lentilroad/request/relay.py
@@ -15,7 +15,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
-from lentilroad.request.const import ATTACH_RETRY_DELAY_S, OWNER_RETRY_DELAY_S
+from lentilroad.request.http_const import ATTACH_RETRY_DELAY_S, OWNER_RETRY_DELAY_S
 from lentilroad.wire import messages as m
 from lentilroad.wire.convert import from_wire_error
 from lentilroad.wire.services import ATTACH
