Add connections between processes

Processes had no way to call each other. PeerConnections opens one grpclib channel per peer, watches it with pings while calls are open and maps every failure to a typed error; start_server serves the same methods and closes gracefully. grpclib's server leaves accepted connections open when it is closed, which left clients waiting, so PeerServer closes them itself.

--- /dev/null
+++ b/lentilroad/connection/errors.py
@@ -0,0 +1,67 @@
+"""Typed errors in gRPC status messages, and gRPC errors as typed errors."""
+
+from __future__ import annotations
+
+import msgspec
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from lentilroad.errors import LentilroadError, Outcome, UnavailableError
+from lentilroad.wire.convert import from_wire_error, to_wire_error
+from lentilroad.wire.messages import WireError
+
+_TYPED_ERROR_STATUS = Status.ABORTED
+
+
+def to_grpc_error(error: LentilroadError) -> GRPCError:
+    """Convert a typed error to a gRPC error that carries it."""
+    text = msgspec.json.encode(to_wire_error(error)).decode()
+    return GRPCError(_TYPED_ERROR_STATUS, text)
+
+
+def from_exception(
+    error: BaseException, *, address: str, request_sent: bool
+) -> LentilroadError:
+    """Convert what a call raised to a typed error.
+
+    Parameters
+    ----------
+    error : BaseException
+        `GRPCError`, `StreamTerminatedError`, `OSError` or `TimeoutError`.
+    address : str
+        Address of the peer, "ip:port".
+    request_sent : bool
+        Whether the peer may have received the request.
+
+    Returns
+    -------
+    LentilroadError
+        The error that the peer raised, or `UnavailableError` with outcome
+        ``not_run`` when the request was not sent and ``unknown`` otherwise.
+    """
+    if isinstance(error, GRPCError):
+        return _from_grpc_error(error, address=address)
+    outcome: Outcome = "unknown" if request_sent else "not_run"
+    reason = f"{type(error).__name__}: {error}"
+    return UnavailableError(
+        f"no answer from {address} ({reason}); look its state up and retry elsewhere",
+        outcome=outcome,
+    )
+
+
+def _from_grpc_error(error: GRPCError, *, address: str) -> LentilroadError:
+    if error.status is _TYPED_ERROR_STATUS and error.message:
+        try:
+            return from_wire_error(msgspec.json.decode(error.message, type=WireError))
+        except msgspec.DecodeError:
+            pass
+    if error.status is Status.UNIMPLEMENTED:
+        return UnavailableError(
+            f"{address} does not serve this method; use a release that does",
+            outcome="not_run",
+        )
+    return UnavailableError(
+        f"{address} failed with status {error.status.name} ({error.message}); "
+        "read its log",
+        outcome="unknown",
+    )
--- /dev/null
+++ b/lentilroad/connection/peers.py
@@ -0,0 +1,305 @@
+"""Connections to peers: one HTTP/2 channel and one watching task per peer."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import AsyncGenerator, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import eliot
+from grpclib.client import Channel, Stream
+from grpclib.config import Configuration
+from grpclib.const import Cardinality
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
+
+from lentilroad.clock import Clock
+from lentilroad.connection.const import (
+    CONNECT_TIMEOUT_S,
+    HTTP2_WINDOW_BYTES,
+    IDLE_CLOSE_AFTER_S,
+    STALL_TOLERANCE_S,
+)
+from lentilroad.connection.errors import from_exception
+from lentilroad.const import HEARTBEAT_INTERVAL_S, PEER_SILENT_AFTER_S
+from lentilroad.errors import UnavailableError
+from lentilroad.wire.codec import MessagePackCodec
+from lentilroad.wire.messages import HealthPing
+from lentilroad.wire.services import HEALTH_PING, Method
+
+_CALL_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    OSError,
+    TimeoutError,
+)
+_CONFIGURATION = Configuration(
+    http2_connection_window_size=HTTP2_WINDOW_BYTES,
+    http2_stream_window_size=HTTP2_WINDOW_BYTES,
+)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Peer:
+    address: str
+    channel: Channel
+    last_heard_s: float
+    open_calls: int = 0
+    closed: bool = False
+    protocol: H2Protocol | None = None
+    active: asyncio.Event = field(default_factory=asyncio.Event)
+    watcher: asyncio.Task[None] | None = None
+
+    def connected(self) -> bool:
+        """Return whether the connection is open as far as the process knows."""
+        return self.protocol is not None and not self.protocol.handler.connection_lost
+
+
+class PeerConnections:
+    """Call peers by address over shared connections.
+
+    A connection is opened on first use and closed when it was idle for 60 s. While
+    calls are open and nothing arrives, the peer is pinged every 500 ms; after 1.5 s
+    of silence the connection is closed and its open calls fail at once.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    ssl_context : ssl.SSLContext, optional
+        Client context for mutual TLS. None means plain TCP.
+    on_silent : callable, optional
+        Called with the address of a peer whose connection went silent.
+    idle_close_s : float, optional
+        Seconds without calls after which a connection is closed.
+    """
+
+    __slots__ = ("_clock", "_codec", "_idle_close_s", "_on_silent", "_peers", "_ssl")
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        ssl_context: ssl.SSLContext | None = None,
+        on_silent: Callable[[str], None] | None = None,
+        idle_close_s: float = IDLE_CLOSE_AFTER_S,
+    ) -> None:
+        self._clock = clock
+        self._ssl = ssl_context
+        self._on_silent = on_silent
+        self._idle_close_s = idle_close_s
+        self._codec = MessagePackCodec()
+        self._peers: dict[str, _Peer] = {}
+
+    async def call(
+        self, address: str, method: Method, request: Any, timeout_s: float | None
+    ) -> Any:
+        """Send one request and return its reply.
+
+        Parameters
+        ----------
+        address : str
+            Address of the peer, "ip:port".
+        method : Method
+            Unary method.
+        request : Message
+            Request of the method's type.
+        timeout_s : float or None
+            Deadline in seconds, including the time to connect.
+
+        Returns
+        -------
+        Message
+            Reply of the method's type.
+
+        Raises
+        ------
+        UnavailableError
+            The peer cannot be reached, fell silent or did not answer in time; the
+            outcome is ``not_run`` only if the request was not sent.
+        LentilroadError
+            The typed error that the peer's handler raised.
+        """
+        peer = self._begin(address)
+        sent = False
+        try:
+            timeout_s = await self._connect(peer, timeout_s)
+            stream = self._request(peer, method, timeout_s, Cardinality.UNARY_UNARY)
+            async with stream:
+                await stream.send_request()
+                sent = True
+                await stream.send_message(request, end=True)
+                reply = await stream.recv_message()
+                peer.last_heard_s = self._clock.monotonic_s()
+            return reply
+        except _CALL_ERRORS as error:
+            raise from_exception(error, address=address, request_sent=sent) from error
+        finally:
+            peer.open_calls -= 1
+
+    async def stream(
+        self, address: str, method: Method, request: Any, timeout_s: float | None
+    ) -> AsyncGenerator[Any, None]:
+        """Send one request and yield its replies; errors are those of `call`.
+
+        Closing the generator cancels the call at the peer.
+        """
+        peer = self._begin(address)
+        sent = False
+        try:
+            timeout_s = await self._connect(peer, timeout_s)
+            stream = self._request(peer, method, timeout_s, Cardinality.UNARY_STREAM)
+            async with stream:
+                await stream.send_request()
+                sent = True
+                await stream.send_message(request, end=True)
+                while (reply := await stream.recv_message()) is not None:
+                    peer.last_heard_s = self._clock.monotonic_s()
+                    yield reply
+        except _CALL_ERRORS as error:
+            raise from_exception(error, address=address, request_sent=sent) from error
+        finally:
+            peer.open_calls -= 1
+
+    async def close(self) -> None:
+        """Close all connections; open calls fail with `UnavailableError`."""
+        watchers = []
+        for peer in list(self._peers.values()):
+            if peer.watcher is not None:
+                peer.watcher.cancel()
+                watchers.append(peer.watcher)
+            self._drop(peer)
+        await asyncio.gather(*watchers, return_exceptions=True)
+
+    def _begin(self, address: str) -> _Peer:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._open(address)
+        if peer.open_calls == 0:
+            peer.last_heard_s = self._clock.monotonic_s()
+            peer.active.set()
+        peer.open_calls += 1
+        return peer
+
+    def _open(self, address: str) -> _Peer:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            raise UnavailableError(
+                f"{address!r} is not an address; set it as ip:port", outcome="not_run"
+            )
+        channel = Channel(
+            host.strip("[]"),
+            int(port),
+            codec=self._codec,
+            ssl=self._ssl,
+            config=_CONFIGURATION,
+        )
+        peer = _Peer(
+            address=address, channel=channel, last_heard_s=self._clock.monotonic_s()
+        )
+        self._peers[address] = peer
+        peer.watcher = asyncio.create_task(self._watch(peer))
+        return peer
+
+    async def _connect(self, peer: _Peer, timeout_s: float | None) -> float | None:
+        if peer.connected():
+            return timeout_s
+        limit_s = CONNECT_TIMEOUT_S
+        if timeout_s is not None:
+            limit_s = min(limit_s, timeout_s)
+        started_s = self._clock.monotonic_s()
+        async with asyncio.timeout(limit_s):
+            peer.protocol = await peer.channel.__connect__()
+        now_s = self._clock.monotonic_s()
+        peer.last_heard_s = now_s
+        if timeout_s is None:
+            return None
+        return max(timeout_s - (now_s - started_s), 0.001)
+
+    def _request(
+        self,
+        peer: _Peer,
+        method: Method,
+        timeout_s: float | None,
+        cardinality: Cardinality,
+    ) -> Stream:
+        return peer.channel.request(
+            method.path,
+            cardinality,
+            method.request_type,
+            method.reply_type,
+            timeout=timeout_s,
+        )
+
+    async def _watch(self, peer: _Peer) -> None:
+        while not peer.closed:
+            if peer.open_calls == 0:
+                peer.active.clear()
+                if not await self._wait_active(peer):
+                    self._drop(peer)
+                    return
+            if await self._fell_silent(peer):
+                eliot.log_message(
+                    message_type="connection:silent", address=peer.address
+                )
+                self._drop(peer)
+                if self._on_silent is not None:
+                    self._on_silent(peer.address)
+                return
+
+    async def _wait_active(self, peer: _Peer) -> bool:
+        try:
+            async with asyncio.timeout(self._idle_close_s):
+                await peer.active.wait()
+        except TimeoutError:
+            return peer.open_calls > 0
+        return True
+
+    async def _fell_silent(self, peer: _Peer) -> bool:
+        before_s = self._clock.monotonic_s()
+        await self._clock.sleep(HEARTBEAT_INTERVAL_S)
+        now_s = self._clock.monotonic_s()
+        if now_s - before_s > HEARTBEAT_INTERVAL_S + STALL_TOLERANCE_S:
+            peer.last_heard_s = now_s
+        if peer.open_calls == 0 or not peer.connected():
+            return False
+        if now_s - peer.last_heard_s < HEARTBEAT_INTERVAL_S:
+            return False
+        return not await self._ping(peer)
+
+    async def _ping(self, peer: _Peer) -> bool:
+        """Return whether the peer was heard in time."""
+        now_s = self._clock.monotonic_s()
+        due_s = peer.last_heard_s + PEER_SILENT_AFTER_S
+        stream = self._request(
+            peer, HEALTH_PING, max(due_s - now_s, 0.001), Cardinality.UNARY_UNARY
+        )
+        # An answer with an error is still an answer.
+        with suppress(GRPCError, StreamTerminatedError, ProtocolError, OSError):
+            try:
+                async with stream:
+                    await stream.send_message(HealthPing(), end=True)
+                    await stream.recv_message()
+            except TimeoutError:
+                now_s = self._clock.monotonic_s()
+                if now_s - due_s > STALL_TOLERANCE_S:
+                    peer.last_heard_s = now_s
+                return now_s < peer.last_heard_s + PEER_SILENT_AFTER_S
+        peer.last_heard_s = self._clock.monotonic_s()
+        return True
+
+    def _drop(self, peer: _Peer) -> None:
+        """Close a connection without waiting for data that the peer does not read."""
+        peer.closed = True
+        if self._peers.get(peer.address) is peer:
+            del self._peers[peer.address]
+        transport = None
+        if peer.protocol is not None:
+            transport = getattr(peer.protocol.connection, "_transport", None)
+        peer.channel.close()
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/lentilroad/connection/server.py
@@ -0,0 +1,183 @@
+"""Server of the methods between lentilroad processes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import ssl
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+from weakref import WeakSet
+
+from grpclib.config import Configuration
+from grpclib.const import Handler
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server, Stream
+
+from lentilroad.connection.const import HTTP2_WINDOW_BYTES, SHUTDOWN_GRACE_S
+from lentilroad.connection.errors import to_grpc_error
+from lentilroad.errors import LentilroadError, UnavailableError
+from lentilroad.wire.codec import MessagePackCodec
+from lentilroad.wire.messages import HealthPing
+from lentilroad.wire.services import (
+    HEALTH_PING,
+    Method,
+    MethodTable,
+    StreamingHandler,
+    UnaryHandler,
+)
+
+_BACKLOG = 512
+
+
+class _TrackingServer(Server):
+    """Server that can close its connections; grpclib leaves them open."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._protocols: WeakSet[H2Protocol] = WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close_connections(self) -> None:
+        """Close all accepted connections."""
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "connection"):
+                protocol.connection.close()
+
+
+class PeerServer:
+    """Running server; made by `start_server`.
+
+    Attributes
+    ----------
+    address : str
+        Address that it listens on, "ip:port".
+    port : int
+        Port that it listens on.
+    """
+
+    def __init__(
+        self, *, handlers: Mapping[Method, UnaryHandler | StreamingHandler]
+    ) -> None:
+        self.address = ""
+        self.port = 0
+        self._open_requests = 0
+        self._closing = False
+        self._finished = asyncio.Event()
+        self._server = _TrackingServer(
+            [_Wrapped(table=MethodTable(handlers=handlers), wrap=self._wrap)],
+            codec=MessagePackCodec(),
+            config=Configuration(
+                http2_connection_window_size=HTTP2_WINDOW_BYTES,
+                http2_stream_window_size=HTTP2_WINDOW_BYTES,
+            ),
+        )
+
+    async def start(
+        self, *, host: str, port: int, ssl_context: ssl.SSLContext | None
+    ) -> None:
+        """Listen on `host` and `port`; port 0 takes a free one."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=_BACKLOG)
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        self.address = f"[{host}]:{self.port}" if ":" in host else f"{host}:{self.port}"
+        await self._server.start(sock=listener, ssl=ssl_context, backlog=_BACKLOG)
+
+    async def close(self, *, grace_s: float = SHUTDOWN_GRACE_S) -> None:
+        """Refuse new requests, wait for the open ones, and stop.
+
+        Parameters
+        ----------
+        grace_s : float, optional
+            Seconds after which requests that are still open are cancelled.
+        """
+        self._closing = True
+        if self._open_requests:
+            try:
+                async with asyncio.timeout(grace_s):
+                    await self._finished.wait()
+            except TimeoutError:
+                pass
+        self._server.close()
+        await self._server.wait_closed()
+        self._server.close_connections()
+
+    def _wrap(
+        self, path: str, serve: Callable[[Stream], Awaitable[None]]
+    ) -> Callable[[Stream], Awaitable[None]]:
+        if path == HEALTH_PING.path:
+            return serve
+
+        async def serve_typed(stream: Stream) -> None:
+            if self._closing:
+                raise to_grpc_error(
+                    UnavailableError("process is stopping; use another one")
+                )
+            self._open_requests += 1
+            try:
+                await serve(stream)
+            except LentilroadError as error:
+                raise to_grpc_error(error) from error
+            finally:
+                self._open_requests -= 1
+                if self._closing and self._open_requests == 0:
+                    self._finished.set()
+
+        return serve_typed
+
+
+class _Wrapped:
+    """Servable object whose handlers are wrapped."""
+
+    __slots__ = ("_table", "_wrap")
+
+    def __init__(self, *, table: MethodTable, wrap: Callable[..., Any]) -> None:
+        self._table = table
+        self._wrap = wrap
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the table that grpclib serves."""
+        return {
+            path: handler._replace(func=self._wrap(path, handler.func))
+            for path, handler in self._table.__mapping__().items()
+        }
+
+
+async def _answer_ping(request: HealthPing) -> HealthPing:
+    return request
+
+
+async def start_server(
+    handlers: Mapping[Method, UnaryHandler | StreamingHandler],
+    host: str,
+    port: int,
+    ssl_context: ssl.SSLContext | None = None,
+) -> PeerServer:
+    """Serve methods to peers.
+
+    Parameters
+    ----------
+    handlers : Mapping[Method, Callable]
+        Coroutine function for each unary method, async generator function for
+        each streaming method. `HEALTH_PING` is added. A `LentilroadError` that a
+        handler raises reaches the client as the same error.
+    host : str
+        IP address to listen on.
+    port : int
+        Port to listen on; 0 takes a free one.
+    ssl_context : ssl.SSLContext, optional
+        Server context for mutual TLS.
+
+    Returns
+    -------
+    PeerServer
+        The running server.
+    """
+    server = PeerServer(handlers={HEALTH_PING: _answer_ping, **handlers})
+    await server.start(host=host, port=port, ssl_context=ssl_context)
+    return server
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -476,3 +476,7 @@
     """Parts that the peer holds."""
 
     parts: dict[str, bytes]
+
+
+class HealthPing(Message):
+    """Heartbeat of a connection, in both directions."""
--- a/lentilroad/wire/services.py
+++ b/lentilroad/wire/services.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import aclosing
 from dataclasses import dataclass
 from typing import Any
 
@@ -73,8 +74,11 @@
 )
 HEARTBEAT = _method("Sidecar", "Heartbeat", m.PairHeartbeat, m.SidecarHeartbeat)
 
+# Served by every process; keeps connections with open calls under watch.
+HEALTH_PING = _method("Health", "Ping", m.HealthPing, m.HealthPing)
+
 UnaryHandler = Callable[[Any], Awaitable[Any]]
-StreamingHandler = Callable[[Any], AsyncIterator[Any]]
+StreamingHandler = Callable[[Any], AsyncGenerator[Any, None]]
 
 
 def _serve_unary(handler: UnaryHandler) -> Callable[[Stream], Awaitable[None]]:
@@ -88,8 +92,10 @@
 def _serve_streaming(handler: StreamingHandler) -> Callable[[Stream], Awaitable[None]]:
     async def serve(stream: Stream) -> None:
         request = await stream.recv_message()
-        async for reply in handler(request):
-            await stream.send_message(reply)
+        # Closing the generator runs its cleanup when the peer cancels the call.
+        async with aclosing(handler(request)) as replies:
+            async for reply in replies:
+                await stream.send_message(reply)
 
     return serve
 
