--- /dev/null
+++ b/lentilroad/process/sidecar.py
@@ -0,0 +1,248 @@
+"""Run the process beside an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import ssl
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from typing import Literal
+
+import eliot
+import msgspec
+from aiohttp import web
+
+from lentilroad.adapters.http_engine import HttpEngine
+from lentilroad.adapters.service import HttpService
+from lentilroad.clock import Clock, SystemClock
+from lentilroad.connection.peers import PeerConnections
+from lentilroad.connection.server import PeerServer, start_server
+from lentilroad.process.heartbeats import EntryHeartbeats
+from lentilroad.upstream.calls import CallRunner
+from lentilroad.upstream.fifo import FifoQueue
+from lentilroad.upstream.interfaces import CallQueue
+from lentilroad.upstream.running import CallLimits
+from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
+
+_ANNOUNCE_DRAIN_S = 0.2
+
+
+class Sidecar:
+    """One running sidecar; made by `start_sidecar`."""
+
+    def __init__(
+        self,
+        *,
+        runner: CallRunner,
+        server: PeerServer,
+        http: web.AppRunner,
+        heartbeats: EntryHeartbeats,
+        heartbeat_task: asyncio.Task[None],
+        connections: PeerConnections,
+        upstream: HttpEngine | HttpService,
+    ) -> None:
+        self.runner = runner
+        self.heartbeats = heartbeats
+        self._server = server
+        self._http = http
+        self._heartbeat_task = heartbeat_task
+        self._connections = connections
+        self._upstream = upstream
+
+    @property
+    def address(self) -> str:
+        """Address that entries call."""
+        return self._server.address
+
+    @property
+    def http_port(self) -> int:
+        """Port of the health endpoints."""
+        return int(self._http.addresses[0][1])
+
+    async def drain(self) -> None:
+        """Refuse new calls, tell the entries, and wait for the accepted ones."""
+        self.runner.start_draining()
+        self.heartbeats.send_now()
+        await self.runner.drained()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        self._heartbeat_task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._heartbeat_task
+        await self.runner.close()
+        await self._server.close(grace_s=_ANNOUNCE_DRAIN_S)
+        await self._connections.close()
+        await self._http.cleanup()
+        await self._upstream.close()
+
+
+async def start_sidecar(
+    *,
+    upstream_id: str,
+    kind: Literal["engine", "service"],
+    upstream_url: str,
+    names: Sequence[str],
+    region: str,
+    availability_zone: str,
+    entries: Sequence[str],
+    host: str = "127.0.0.1",
+    port: int = 0,
+    http_port: int = 0,
+    incarnation: int | None = None,
+    server_ssl_context: ssl.SSLContext | None = None,
+    client_ssl_context: ssl.SSLContext | None = None,
+    clock: Clock | None = None,
+    queue: CallQueue | None = None,
+    limits: CallLimits | None = None,
+    on_reply: Callable[[str, SidecarHeartbeatReply], None] | None = None,
+) -> Sidecar:
+    """Start a sidecar in the running event loop.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Name of the upstream in the directory.
+    kind : {"engine", "service"}
+        Protocol that the upstream speaks.
+    upstream_url : str
+        Base address of the upstream.
+    names : sequence of str
+        Models of an engine, or names of services.
+    region, availability_zone : str
+        Where the sidecar runs.
+    entries : sequence of str
+        Entries that the first heartbeats go to.
+    host : str, optional
+        IP address to listen on; entries reach the sidecar there.
+    port, http_port : int, optional
+        Ports for peers and for health endpoints; 0 takes a free one.
+    incarnation : int, optional
+        Number that grows with every start. The default is the time in milliseconds.
+    server_ssl_context, client_ssl_context : ssl.SSLContext, optional
+        Contexts for mutual TLS between lentilroad processes.
+    clock : Clock, optional
+        Source of time.
+    queue : CallQueue, optional
+        Queue in front of the upstream; first-in, first-out when omitted.
+    limits : CallLimits, optional
+        Times after which calls are given up.
+    on_reply : callable, optional
+        Called with an entry's address and its reply to a heartbeat.
+
+    Returns
+    -------
+    Sidecar
+        The running sidecar.
+    """
+    clock = clock or SystemClock()
+    record = SidecarRecord(
+        address="",
+        upstream_id=upstream_id,
+        kind=kind,
+        names=list(names),
+        region=region,
+        availability_zone=availability_zone,
+        incarnation=incarnation or int(clock.time_s() * 1000),
+    )
+    engine = HttpEngine(base_url=upstream_url) if kind == "engine" else None
+    service = HttpService(base_url=upstream_url) if kind == "service" else None
+    runner = CallRunner(
+        record=record,
+        clock=clock,
+        queue=queue or FifoQueue(clock=clock),
+        engine=engine,
+        service=service,
+        limits=limits,
+    )
+    server = await start_server(runner.handlers(), host, port, server_ssl_context)
+    record.address = server.address
+    runner.start()
+    connections = PeerConnections(clock=clock, ssl_context=client_ssl_context)
+    heartbeats = EntryHeartbeats(
+        clock=clock,
+        entries=entries,
+        call=connections.call,
+        report=runner.report,
+        on_reply=on_reply,
+    )
+    http = await _start_http(runner, heartbeats, host, http_port)
+    eliot.log_message(
+        message_type="sidecar:started",
+        address=record.address,
+        upstream_id=upstream_id,
+    )
+    return Sidecar(
+        runner=runner,
+        server=server,
+        http=http,
+        heartbeats=heartbeats,
+        heartbeat_task=asyncio.ensure_future(heartbeats.run_forever()),
+        connections=connections,
+        upstream=engine or service,
+    )
+
+
+async def run_sidecar(
+    *, on_started: Callable[[Sidecar], None] | None = None, **settings: object
+) -> None:
+    """Run a sidecar until SIGTERM or SIGINT, then drain it and stop.
+
+    Parameters
+    ----------
+    on_started : callable, optional
+        Called with the running sidecar.
+    **settings
+        Arguments of `start_sidecar`.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    sidecar = await start_sidecar(**settings)
+    if on_started is not None:
+        on_started(sidecar)
+    await stop.wait()
+    eliot.log_message(message_type="sidecar:draining", address=sidecar.address)
+    await sidecar.drain()
+    await sidecar.close()
+    eliot.log_message(message_type="sidecar:stopped", address=sidecar.address)
+
+
+async def _start_http(
+    runner: CallRunner, heartbeats: EntryHeartbeats, host: str, port: int
+) -> web.AppRunner:
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(request: web.Request) -> web.Response:
+        if runner.record.state != "serving":
+            return web.Response(status=503, text="draining\n")
+        if not heartbeats.heard_recently():
+            return web.Response(status=503, text="no entry answers\n")
+        return web.Response(text="ok\n")
+
+    async def status(request: web.Request) -> web.Response:
+        body = {
+            "report": runner.report(),
+            "home_entries": heartbeats.home_entries,
+            "programs": len(runner.programs.programs),
+            "records": len(runner.ledger),
+        }
+        return web.Response(
+            body=msgspec.json.encode(body), content_type="application/json"
+        )
+
+    application = web.Application()
+    application.add_routes(
+        [
+            web.get("/healthz", healthz),
+            web.get("/readyz", readyz),
+            web.get("/status", status),
+        ]
+    )
+    http = web.AppRunner(application, access_log=None)
+    await http.setup()
+    await web.TCPSite(http, host, port).start()
+    return http
--- /dev/null
+++ b/lentilroad/upstream/calls.py
@@ -0,0 +1,410 @@
+"""Handlers of the sidecar's methods."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any
+
+import eliot
+
+from lentilroad.adapters.engine import Engine
+from lentilroad.adapters.service import Service
+from lentilroad.clock import Clock
+from lentilroad.errors import (
+    DeadlineExceededError,
+    LentilroadError,
+    NotFoundError,
+    OverloadedError,
+    ProgramEndedError,
+    UnavailableError,
+)
+from lentilroad.upstream import const
+from lentilroad.upstream.engine_care import EngineCare
+from lentilroad.upstream.fencing import EpochFence
+from lentilroad.upstream.interfaces import CallQueue
+from lentilroad.upstream.ledger import CallRecord, Ledger
+from lentilroad.upstream.output import OutputBuffer
+from lentilroad.upstream.reading import read_output
+from lentilroad.upstream.refusal import refuse_reason, refused
+from lentilroad.upstream.running import CallExecution, CallLimits
+from lentilroad.wire import messages as m
+from lentilroad.wire import services
+from lentilroad.wire.convert import to_wire_error
+
+
+class CallRunner:
+    """Run calls at one upstream and answer entries.
+
+    Text and offsets count characters from the start of the whole answer: chunks,
+    `Finished.text` and `Refused.text` include the forced prefix.
+
+    Parameters
+    ----------
+    record : SidecarRecord
+        This sidecar's directory entry.
+    clock : Clock
+        Source of time; must agree with the running event loop.
+    queue : CallQueue
+        Queue in front of the upstream.
+    engine : Engine, optional
+        The upstream, when it is an engine.
+    service : Service, optional
+        The upstream, when it is a plain service.
+    ledger : Ledger, optional
+        At-most-once records.
+    limits : CallLimits, optional
+        Times after which calls are given up or forgotten.
+    """
+
+    def __init__(
+        self,
+        *,
+        record: m.SidecarRecord,
+        clock: Clock,
+        queue: CallQueue,
+        engine: Engine | None = None,
+        service: Service | None = None,
+        ledger: Ledger | None = None,
+        limits: CallLimits | None = None,
+    ) -> None:
+        self.record = record
+        self.config_version = 0
+        self._clock = clock
+        self._queue = queue
+        self._engine = engine
+        self.ledger = ledger or Ledger()
+        self._limits = limits or CallLimits()
+        self._fence = EpochFence()
+        self.care = EngineCare(engine=engine, clock=clock)
+        self.programs = self.care.programs
+        self._execution = CallExecution(
+            clock=clock,
+            queue=queue,
+            engine=engine,
+            service=service,
+            ledger=self.ledger,
+            care=self.care,
+            limits=self._limits,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def handlers(self) -> Mapping[services.Method, Callable[[Any], Any]]:
+        """Return the handlers for `lentilroad.wire.services.MethodTable`."""
+        return {
+            services.DISPATCH: self.dispatch,
+            services.ATTACH: self.attach,
+            services.RELEASE: self.release,
+            services.CANCEL: self.cancel,
+            services.RESOLVE: self.resolve,
+            services.FORGET: self.forget,
+            services.CONFIRM_PROGRAMS: self.confirm_programs,
+            services.HEARTBEAT: self.heartbeat,
+        }
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        self._tasks = [asyncio.ensure_future(self._sweep_forever())]
+        if self._engine is not None:
+            self._tasks.append(asyncio.ensure_future(self.care.run_forever()))
+
+    async def close(self) -> None:
+        """Stop all work at once; calls that run end with an unknown outcome."""
+        tasks = list(self._tasks)
+        for record in list(self._execution.running.values()):
+            self._execution.stop(
+                record, UnavailableError("sidecar stops", outcome="unknown")
+            )
+            if record.task is not None:
+                tasks.append(record.task)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # Dispatch
+
+    async def dispatch(
+        self, request: m.DispatchRequest
+    ) -> AsyncIterator[m.DispatchEvent]:
+        """Run a call, or join it when it is known, and yield its events."""
+        known = self.ledger.get(request.call_id)
+        settled = self.ledger.settled(request.call_id)
+        try:
+            self._fence.check(shard=request.shard, epoch=request.epoch)
+        except LentilroadError as error:
+            if known is not None:
+                error.outcome = "unknown"
+            elif settled is not None:
+                error.outcome = settled.result.error.outcome
+            yield m.DispatchEvent(event=refused(error))
+            return
+        if settled is not None:
+            yield m.DispatchEvent(event=settled.result)
+            return
+        if known is None:
+            accepted = self._accept(request)
+            if isinstance(accepted, m.Refused):
+                yield m.DispatchEvent(event=accepted)
+                return
+            known = accepted
+        async for event in self._follow(known):
+            yield m.DispatchEvent(event=event)
+
+    async def _follow(
+        self, record: CallRecord
+    ) -> AsyncIterator[m.Queued | m.Started | m.Finished | m.Refused]:
+        record.owners += 1
+        try:
+            yield m.Queued(position=len(self._queue))
+            while record.started_s is None and record.result is None:
+                await record.changed.wait()
+            if record.started_s is not None:
+                yield m.Started()
+            while record.result is None:
+                await record.changed.wait()
+            yield record.result
+        finally:
+            record.owners -= 1
+            record.orphaned_s = self._clock.monotonic_s()
+
+    def _accept(self, request: m.DispatchRequest) -> CallRecord | m.Refused:
+        now_s = self._clock.monotonic_s()
+        deadline_s = None
+        if request.deadline_time_s is not None:
+            deadline_s = now_s + request.deadline_time_s - self._clock.time_s()
+        error = self._refuse_reason(request, deadline_s, now_s)
+        if error is not None:
+            eliot.log_message(
+                message_type="upstream:refused",
+                call_id=request.call_id,
+                code=error.code,
+                outcome=error.outcome,
+            )
+            return self.ledger.refuse(request.call_id, error, now_s=now_s).result
+        record = CallRecord(
+            call_id=request.call_id,
+            program_id=request.program_id,
+            request=request,
+            output=OutputBuffer(text=request.forced_prefix),
+            created_s=now_s,
+            deadline_s=deadline_s,
+        )
+        self.ledger.add(record)
+        self._execution.enqueue(record)
+        return record
+
+    def _refuse_reason(
+        self, request: m.DispatchRequest, deadline_s: float | None, now_s: float
+    ) -> LentilroadError | None:
+        error = refuse_reason(request=request, record=self.record)
+        if error is not None:
+            return error
+        if self.ledger.full:
+            return OverloadedError(
+                "sidecar has too many recent calls; choose another upstream",
+                retry_after_ms=const.RETRY_AFTER_MS,
+            )
+        if deadline_s is not None and deadline_s <= now_s:
+            return DeadlineExceededError("the deadline has passed; allow more time")
+        return self._queue.refuse_reason(request.priority, deadline_s)
+
+    # Output and records
+
+    async def attach(self, request: m.AttachRequest) -> AsyncIterator[m.OutputChunk]:
+        """Yield a call's output from an offset; slow readers get longer chunks."""
+        record = await self._arrived(request.call_id)
+        if record is None:
+            yield self._missing(request)
+            return
+        chunks = read_output(
+            record=record,
+            offset=request.offset,
+            interval_s=self._limits.chunk_interval_s,
+            clock=self._clock,
+        )
+        async for chunk in chunks:
+            yield chunk
+
+    async def _arrived(self, call_id: str) -> CallRecord | None:
+        """Wait for a call whose Dispatch may still be under way."""
+        try:
+            async with asyncio.timeout(self._limits.attach_wait_s):
+                while True:
+                    record = self.ledger.get(call_id)
+                    if record is not None or self.ledger.settled(call_id) is not None:
+                        return record
+                    await self.ledger.arrived.wait()
+        except TimeoutError:
+            return None
+
+    def _missing(self, request: m.AttachRequest) -> m.OutputChunk:
+        settled = self.ledger.settled(request.call_id)
+        if settled is not None and settled.state != "released":
+            error = settled.result.error
+        else:
+            missing = NotFoundError("the call's output is not here; ask its owner")
+            error = to_wire_error(missing)
+        return m.OutputChunk(offset=request.offset, text="", finished=True, error=error)
+
+    async def release(self, request: m.ReleaseRequest) -> m.Acknowledged:
+        """Drop a call's output after it was committed."""
+        error = self._stale(request.shard, request.epoch)
+        if error is not None:
+            return m.Acknowledged(error=error)
+        record = self.ledger.get(request.call_id)
+        if record is None:
+            return m.Acknowledged()
+        record.released = True
+        if record.result is not None:
+            self.ledger.release(record, now_s=self._clock.monotonic_s())
+            self._execution.changed.notify()
+        return m.Acknowledged()
+
+    async def cancel(self, request: m.CancelRequest) -> m.Acknowledged:
+        """Cancel a call; a service call that was sent is left to end."""
+        error = self._stale(request.shard, request.epoch)
+        if error is not None:
+            return m.Acknowledged(error=error)
+        record = self.ledger.get(request.call_id)
+        if record is not None:
+            self._cancel(record)
+        elif self.ledger.settled(request.call_id) is None:
+            self.ledger.block(request.call_id, now_s=self._clock.monotonic_s())
+        return m.Acknowledged()
+
+    def _cancel(self, record: CallRecord) -> None:
+        if record.started_s is not None and record.request.kind == "service":
+            return
+        error = ProgramEndedError("the call was cancelled", outcome="ran")
+        self._execution.stop(record, error)
+
+    async def resolve(self, request: m.ResolveRequest) -> m.ResolveReply:
+        """Tell what became of a call; one that was never seen is blocked for good."""
+        error = self._stale(request.shard, request.epoch)
+        if error is not None:
+            return m.ResolveReply(state="unknown", error=error)
+        record = self.ledger.get(request.call_id)
+        if record is not None:
+            return self._resolve_record(record)
+        settled = self.ledger.settled(request.call_id)
+        if settled is None:
+            settled = self.ledger.block(
+                request.call_id, now_s=self._clock.monotonic_s()
+            )
+            if request.incarnation != self.record.incarnation:
+                # An earlier process may have run the call.
+                settled.result.error.outcome = "unknown"
+        error = settled.result.error
+        if settled.state != "released" and error.outcome == "not_run":
+            return m.ResolveReply(state="never_seen", error=error)
+        return m.ResolveReply(state="unknown", error=error)
+
+    def _resolve_record(self, record: CallRecord) -> m.ResolveReply:
+        if record.result is None:
+            record.orphaned_s = self._clock.monotonic_s()
+            return m.ResolveReply(state="running")
+        if isinstance(record.result, m.Finished):
+            return m.ResolveReply(state="done", finished=record.result)
+        error = record.result.error
+        if error.outcome == "not_run":
+            return m.ResolveReply(state="never_seen", error=error)
+        state = "done" if error.outcome == "ran" else "unknown"
+        return m.ResolveReply(state=state, error=error, text=record.result.text)
+
+    def _stale(self, shard: str, epoch: int) -> m.WireError | None:
+        try:
+            self._fence.check(shard=shard, epoch=epoch)
+        except LentilroadError as error:
+            return to_wire_error(error)
+        return None
+
+    # Programs
+
+    async def forget(self, request: m.ForgetRequest) -> m.Acknowledged:
+        """Cancel a program's model calls and release its memory."""
+        error = self._stale(request.shard, request.epoch)
+        if error is not None:
+            return m.Acknowledged(error=error)
+        for record in list(self.ledger.records.values()):
+            if record.program_id == request.program_id:
+                self._cancel(record)
+        if self._engine is not None:
+            self.programs.forget(request.program_id)
+            self.care.wake()
+        return m.Acknowledged()
+
+    async def confirm_programs(
+        self, request: m.ConfirmProgramsRequest
+    ) -> m.Acknowledged:
+        """Keep the memory of programs that are still under way."""
+        error = self._stale(request.shard, request.epoch)
+        if error is None:
+            now_s = self._clock.monotonic_s()
+            self.programs.confirm(request.program_ids, now_s=now_s)
+        return m.Acknowledged(error=error)
+
+    async def heartbeat(self, request: m.PairHeartbeat) -> m.SidecarHeartbeat:
+        """Answer with this sidecar's record and load."""
+        return self.report()
+
+    def report(self) -> m.SidecarHeartbeat:
+        """Return the record and load that entries receive."""
+        return m.SidecarHeartbeat(
+            record=self.record,
+            load=self._load_report(),
+            config_version=self.config_version,
+        )
+
+    def _load_report(self) -> m.LoadReport:
+        engine = self.care.load
+        report = m.LoadReport(
+            running=len(self._execution.running),
+            queued=len(self._queue),
+            limit=self._queue.limit,
+            cached_tokens=self.programs.cached_tokens(),
+            time_per_token_s=self._execution.time_per_token_s,
+            queue_wait_s=self._execution.queue_wait_s,
+        )
+        if engine is not None:
+            report.cache_capacity_tokens = engine.cache_capacity_tokens
+            report.prefill_tokens_per_s = engine.prefill_tokens_per_s
+        return report
+
+    # Periodic work and shutdown
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await self._clock.sleep(const.SWEEP_INTERVAL_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Give up on hanging and abandoned calls, and drop what is too old."""
+        now_s = self._clock.monotonic_s()
+        self._execution.give_up_hanging()
+        for record in list(self.ledger.records.values()):
+            if record.result is None:
+                self._check_orphan(record, now_s)
+        self.ledger.sweep(now_s)
+        if self.programs.forget_unconfirmed(now_s=now_s):
+            self.care.wake()
+
+    def _check_orphan(self, record: CallRecord, now_s: float) -> None:
+        if record.owners or record.request.kind == "service":
+            return
+        if now_s - record.orphaned_s >= self._limits.orphan_s:
+            error = UnavailableError("no owner asked for the call", outcome="ran")
+            self._execution.stop(record, error)
+
+    def start_draining(self) -> None:
+        """Refuse new calls; those accepted run to their end."""
+        if self.record.state == "serving":
+            self.record.state = "draining"
+            self.record.sequence += 1
+
+    async def drained(self) -> None:
+        """Wait until calls have ended and owners have taken their results."""
+        while self._execution.running or len(self._queue):
+            await self._execution.changed.wait()
+        limit_s = self._execution.idle_since_s + self._limits.drain_release_s
+        while self.ledger.records and self._clock.monotonic_s() < limit_s:
+            await self._clock.sleep(const.SWEEP_INTERVAL_S / 10)
--- /dev/null
+++ b/lentilroad/upstream/engine_care.py
@@ -0,0 +1,91 @@
+"""Keep the engine's memory clean and its load known."""
+
+from __future__ import annotations
+
+import asyncio
+
+import eliot
+
+from lentilroad.adapters.engine import Engine, EngineLoad
+from lentilroad.clock import Clock
+from lentilroad.errors import LentilroadError
+from lentilroad.notifier import Notifier
+from lentilroad.upstream.const import ENGINE_POLL_INTERVAL_S
+from lentilroad.upstream.execution import cancel_at_engine
+from lentilroad.upstream.programs import ProgramTable
+
+
+class EngineCare:
+    """Release programs, repeat lost cancels, and poll load and cache events.
+
+    Releases and cancels are repeated until the engine acknowledges them.
+
+    Parameters
+    ----------
+    engine : Engine or None
+        The engine; None for a service, which has no memory to care for.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, engine: Engine | None, clock: Clock) -> None:
+        self._engine = engine
+        self._clock = clock
+        self.programs = ProgramTable()
+        self.load: EngineLoad | None = None
+        self.load_received_s = 0.0
+        self._cancels: set[str] = set()
+        self._woken = Notifier()
+
+    async def cancel(self, call_id: str) -> None:
+        """Cancel a completion; a failed cancel is repeated later."""
+        if self._engine is None:
+            return
+        self._cancels.add(call_id)
+        if await cancel_at_engine(
+            engine=self._engine, call_id=call_id, clock=self._clock
+        ):
+            self._cancels.discard(call_id)
+
+    def wake(self) -> None:
+        """Do the pending work now instead of at the next interval."""
+        if self.programs.releasing:
+            self._woken.notify()
+
+    async def run_forever(self) -> None:
+        """Do the pending work and poll the engine at intervals."""
+        while True:
+            await self.run_once()
+            try:
+                async with asyncio.timeout(ENGINE_POLL_INTERVAL_S):
+                    await self._woken.wait()
+            except TimeoutError:
+                continue
+
+    async def run_once(self) -> None:
+        """Do the pending work and poll the engine once."""
+        if self._engine is None:
+            return
+        try:
+            await self._release_programs(self._engine)
+            await self._repeat_cancels(self._engine)
+            await self._poll(self._engine)
+        except LentilroadError as error:
+            eliot.log_message(message_type="upstream:engine_silent", code=error.code)
+
+    async def _release_programs(self, engine: Engine) -> None:
+        for program_id in sorted(self.programs.releasing):
+            await engine.release_program(program_id=program_id)
+            self.programs.releasing.discard(program_id)
+
+    async def _repeat_cancels(self, engine: Engine) -> None:
+        for call_id in sorted(self._cancels):
+            await engine.cancel(request_id=call_id)
+            self._cancels.discard(call_id)
+
+    async def _poll(self, engine: Engine) -> None:
+        self.load = await engine.load()
+        now_s = self._clock.monotonic_s()
+        self.load_received_s = now_s
+        events = await engine.cache_events(after=self.programs.last_event_sequence)
+        self.programs.apply_events(events, now_s=now_s)
--- /dev/null
+++ b/lentilroad/upstream/running.py
@@ -0,0 +1,242 @@
+"""Start calls from the queue, run them and give up on those that hang."""
+
+from __future__ import annotations
+
+import asyncio
+
+import eliot
+import msgspec
+
+from lentilroad.adapters.engine import Engine
+from lentilroad.adapters.service import Service
+from lentilroad.clock import Clock
+from lentilroad.errors import (
+    DeadlineExceededError,
+    LentilroadError,
+    UnavailableError,
+    UpstreamError,
+)
+from lentilroad.notifier import Notifier
+from lentilroad.upstream import const
+from lentilroad.upstream.engine_care import EngineCare
+from lentilroad.upstream.execution import run_chat, run_service
+from lentilroad.upstream.interfaces import CallQueue
+from lentilroad.upstream.ledger import CallRecord, Ledger
+from lentilroad.upstream.refusal import refused
+from lentilroad.wire import messages as m
+
+
+class CallLimits(msgspec.Struct, kw_only=True, frozen=True):
+    """Times after which calls are given up or forgotten, in seconds."""
+
+    orphan_s: float = const.ORPHAN_LIMIT_S
+    first_output_s: float = const.FIRST_OUTPUT_LIMIT_S
+    output_gap_s: float = const.OUTPUT_GAP_LIMIT_S
+    service_s: float = const.SERVICE_LIMIT_S
+    attach_wait_s: float = const.ATTACH_WAIT_S
+    drain_release_s: float = const.DRAIN_RELEASE_WAIT_S
+    # Smallest time between two messages to one reader.
+    chunk_interval_s: float = 0.0
+
+
+class CallExecution:
+    """Calls that wait or run at one upstream.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    queue : CallQueue
+        Queue in front of the upstream.
+    engine, service : Engine or Service, optional
+        The upstream.
+    ledger : Ledger
+        At-most-once records; receives every result.
+    care : EngineCare
+        Receives cancels and the programs that hold memory.
+    limits : CallLimits
+        Times after which calls are given up.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        queue: CallQueue,
+        engine: Engine | None,
+        service: Service | None,
+        ledger: Ledger,
+        care: EngineCare,
+        limits: CallLimits,
+    ) -> None:
+        self._clock = clock
+        self.queue = queue
+        self._engine = engine
+        self._service = service
+        self._ledger = ledger
+        self._care = care
+        self._limits = limits
+        self.running: dict[str, CallRecord] = {}
+        self.time_per_token_s = 0.0
+        self.queue_wait_s = 0.0
+        self.idle_since_s = 0.0
+        self.changed = Notifier()
+
+    def enqueue(self, record: CallRecord) -> None:
+        """Queue a call and start it when a slot is free."""
+        if record.deadline_s is not None:
+            record.timer = asyncio.get_running_loop().call_later(
+                record.deadline_s - record.created_s, self.expire, record
+            )
+        self.queue.push(record, record.request.priority, record.deadline_s)
+        self.start_ready()
+
+    def start_ready(self) -> None:
+        """Start calls while the queue has a free slot."""
+        while True:
+            record = self.queue.pop_ready()
+            if record is None:
+                return
+            assert isinstance(record, CallRecord)
+            now_s = self._clock.monotonic_s()
+            wait_s = now_s - record.created_s
+            self.queue_wait_s += const.SMOOTHING * (wait_s - self.queue_wait_s)
+            record.started_s = now_s
+            record.last_output_s = now_s
+            record.changed.notify()
+            self.running[record.call_id] = record
+            if record.request.kind == "chat":
+                self._care.programs.started(record.program_id, now_s=now_s)
+            record.task = asyncio.ensure_future(self._execute(record))
+
+    async def _execute(self, record: CallRecord) -> None:
+        try:
+            self.end(record, await self._run(record))
+        except asyncio.CancelledError:
+            if record.result is None:
+                error = UnavailableError("sidecar stops", outcome="unknown")
+                self.end(record, refused(error, record.output.text()))
+        except LentilroadError as error:
+            self.end(record, self._failure(record, error))
+        except Exception as exception:
+            eliot.log_message(
+                message_type="upstream:call_failed",
+                call_id=record.call_id,
+                exception=repr(exception),
+            )
+            error = UpstreamError("sidecar failed; see its log", outcome="unknown")
+            self.end(record, self._failure(record, error))
+        await self._clean_up(record)
+
+    async def _run(self, record: CallRecord) -> m.Finished:
+        if record.request.kind == "chat":
+            assert self._engine is not None
+            finished = await run_chat(
+                engine=self._engine, record=record, clock=self._clock
+            )
+        else:
+            assert self._service is not None
+            finished = await run_service(service=self._service, record=record)
+        started_s = record.started_s or 0.0
+        finished.duration_s = self._clock.monotonic_s() - started_s
+        return finished
+
+    def _failure(self, record: CallRecord, error: LentilroadError) -> m.Refused:
+        if record.tokens:
+            error.outcome = "ran"
+        return refused(error, record.output.text())
+
+    async def _clean_up(self, record: CallRecord) -> None:
+        is_chat = record.request.kind == "chat"
+        if is_chat and not isinstance(record.result, m.Finished):
+            await self._care.cancel(record.call_id)
+        now_s = self._clock.monotonic_s()
+        del self.running[record.call_id]
+        if is_chat:
+            usage = m.Usage()
+            if isinstance(record.result, m.Finished):
+                usage = record.result.usage
+            tokens = usage.prompt_tokens + usage.completion_tokens
+            self._care.programs.ended(record.program_id, tokens=tokens, now_s=now_s)
+            self._care.wake()
+        self.queue.done(record, duration_s=now_s - (record.started_s or now_s))
+        self.start_ready()
+        self.changed.notify()
+
+    def end(self, record: CallRecord, result: m.Finished | m.Refused) -> None:
+        """Publish the final answer."""
+        if record.result is not None:
+            return
+        now_s = self._clock.monotonic_s()
+        record.result = result
+        record.ended_s = now_s
+        self.idle_since_s = now_s
+        if record.timer is not None:
+            record.timer.cancel()
+            record.timer = None
+        self._measure(record, now_s)
+        record.output.close()
+        record.changed.notify()
+        if record.released:
+            self._ledger.release(record, now_s=now_s)
+        else:
+            self._ledger.end(record)
+
+    def _measure(self, record: CallRecord, now_s: float) -> None:
+        if record.tokens < 2 or record.started_s is None:
+            return
+        time_per_token_s = (record.last_output_s - record.first_output_s) / (
+            record.tokens - 1
+        )
+        change_s = time_per_token_s - self.time_per_token_s
+        self.time_per_token_s += const.SMOOTHING * change_s
+        self.queue.observe_time_per_token(time_per_token_s)
+
+    def stop(self, record: CallRecord, error: LentilroadError) -> None:
+        """Give up on a call: answer at once, then clean up."""
+        if record.result is not None:
+            return
+        if record.started_s is None:
+            self.queue.remove(record)
+            error.outcome = "not_run"
+            # Recorded as refused, so that it never starts.
+            self.end(record, refused(error, record.request.forced_prefix))
+            return
+        self.end(record, self._failure(record, error))
+        if record.task is not None:
+            record.task.cancel()
+
+    def expire(self, record: CallRecord) -> None:
+        """Give up on a call whose deadline has passed."""
+        unknown = record.request.kind == "service"
+        error = DeadlineExceededError(
+            "the deadline passed before the call ended; allow more time",
+            outcome="unknown" if unknown else "ran",
+        )
+        self.stop(record, error)
+
+    def give_up_hanging(self) -> None:
+        """Stop calls whose upstream has given no output for too long."""
+        now_s = self._clock.monotonic_s()
+        for record in list(self.running.values()):
+            self._check_hang(record, now_s)
+
+    def _check_hang(self, record: CallRecord, now_s: float) -> None:
+        if record.request.kind == "service":
+            limit_s = self._limits.service_s
+        elif record.tokens:
+            limit_s = self._limits.output_gap_s
+        else:
+            limit_s = self._limits.first_output_s
+        if record.result is not None or now_s - record.last_output_s < limit_s:
+            return
+        eliot.log_message(
+            message_type="upstream:hanging",
+            call_id=record.call_id,
+            limit_s=limit_s,
+        )
+        error = UpstreamError(
+            f"upstream gave no output for {limit_s:g} s; use another one",
+            outcome="unknown",
+        )
+        self.stop(record, error)
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -192,6 +192,9 @@
     payload: bytes = b""
     deadline_time_s: float | None = None
     traceparent: str = ""
+    # Incarnation of the sidecar that the owner chose; another one may have run the
+    # call before it restarted. 0 skips the check.
+    incarnation: int = 0
 
 
 class Queued(Message, tag="queued"):
@@ -279,6 +282,8 @@
     state: Literal["done", "running", "never_seen", "unknown"]
     finished: Finished | None = None
     error: WireError | None = None
+    # Output up to the failure, as in `Refused`.
+    text: str = ""
 
 
 class ForgetRequest(Message):
