--- /dev/null
+++ b/lentilroad/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements in virtual time."""
--- /dev/null
+++ b/lentilroad/version/parts.py
@@ -0,0 +1,134 @@
+"""Division of a configuration into immutable, content-addressed parts."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+import xxhash
+
+from lentilroad.errors import ConfigurationError
+from lentilroad.version.const import (
+    DIGEST_BYTES,
+    LINES_PER_TEXT_PART,
+    PART_TARGET_BYTES,
+    VALUE_MAX_BYTES,
+)
+from lentilroad.version.model import Configuration, Head
+
+_SECTIONS = ("regions", "models", "adapters", "services", "callers")
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_HEAD_DECODER = msgspec.json.Decoder(Head)
+
+
+class Part(msgspec.Struct, kw_only=True, frozen=True):
+    """Some entries of one section of a configuration."""
+
+    section: str
+    entries: dict[str, Any]
+
+
+_PART_DECODER = msgspec.msgpack.Decoder(Part)
+
+
+def digest_of(value: bytes) -> str:
+    """Return the digest under which a part is stored."""
+    return hashlib.blake2b(value, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head as JSON, so that operators can read it in the service."""
+    return msgspec.json.encode(head)
+
+
+def decode_head(value: bytes) -> Head:
+    """Decode a head.
+
+    Raises
+    ------
+    ConfigurationError
+        The value is no head.
+    """
+    try:
+        return _HEAD_DECODER.decode(value)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise ConfigurationError(
+            "the configuration head cannot be read; apply the configuration again"
+        ) from error
+
+
+def split_configuration(configuration: Configuration) -> dict[str, bytes]:
+    """Encode a configuration as parts by digest, in a stable order.
+
+    A section above the target size is divided by a hash of the entry's name, so a
+    change of one entry changes one part only.
+    """
+    plain = msgspec.to_builtins(configuration)
+    parts = [_encode("general", plain["general"])]
+    for section in _SECTIONS:
+        parts += _split_section(section, plain[section])
+    return {digest_of(part): part for part in parts}
+
+
+def _encode(section: str, entries: dict[str, Any]) -> bytes:
+    return _ENCODER.encode(Part(section=section, entries=entries))
+
+
+def _split_section(section: str, entries: dict[str, Any]) -> list[bytes]:
+    if not entries:
+        return []
+    size_bytes = len(_encode(section, entries))
+    bucket_count = 1
+    while size_bytes / bucket_count > PART_TARGET_BYTES:
+        bucket_count *= 2
+    buckets: dict[int, dict[str, Any]] = {}
+    for name, value in entries.items():
+        bucket = xxhash.xxh64_intdigest(name.encode()) % bucket_count
+        buckets.setdefault(bucket, {})[name] = value
+    parts = [_encode(section, buckets[bucket]) for bucket in sorted(buckets)]
+    for part in parts:
+        if len(part) > VALUE_MAX_BYTES:
+            raise ConfigurationError(
+                f"{section} has an entry above {VALUE_MAX_BYTES} bytes; divide it"
+            )
+    return parts
+
+
+def join_configuration(parts: Iterable[bytes]) -> Configuration:
+    """Build the typed configuration from its parts.
+
+    Raises
+    ------
+    ConfigurationError
+        The parts do not make up a configuration.
+    """
+    sections: dict[str, dict[str, Any]] = {}
+    try:
+        for value in parts:
+            part = _PART_DECODER.decode(value)
+            sections.setdefault(part.section, {}).update(part.entries)
+        return msgspec.convert(sections, Configuration)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise ConfigurationError(
+            "the parts of the configuration do not fit this release of lentilroad; "
+            "update this process or apply the configuration with this release"
+        ) from error
+
+
+def split_text(text: str) -> list[bytes]:
+    """Divide the operator's text at line ends into values, in reading order."""
+    parts: list[bytes] = []
+    current = bytearray()
+    for line in text.splitlines(keepends=True):
+        encoded = line.encode()
+        # Cuts depend on the content, so an insertion does not move later cuts.
+        cut = xxhash.xxh32_intdigest(encoded) % LINES_PER_TEXT_PART == 0
+        if current and (cut or len(current) + len(encoded) > VALUE_MAX_BYTES):
+            parts.append(bytes(current))
+            current.clear()
+        current += encoded
+    if current:
+        parts.append(bytes(current))
+    return parts
--- /dev/null
+++ b/lentilroad/version/store.py
@@ -0,0 +1,406 @@
+"""The operators' configuration in the key-value service."""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+
+import eliot
+
+from lentilroad.adapters.key_value import KeyValueItem, KeyValueStore
+from lentilroad.clock import Clock
+from lentilroad.errors import (
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    UnavailableError,
+)
+from lentilroad.version.conflict import conflict_error
+from lentilroad.version.const import (
+    CHANGES_IN_HEAD,
+    HEAD_KEY,
+    HISTORY_DEFAULT_COUNT,
+    PART_PREFIX,
+    RETRY_MAX_S,
+    RETRY_MIN_S,
+    VERSION_PREFIX,
+    WRITE_ATTEMPTS,
+)
+from lentilroad.version.diff import diff_configurations
+from lentilroad.version.model import Configuration, Head
+from lentilroad.version.parts import (
+    decode_head,
+    digest_of,
+    encode_head,
+    join_configuration,
+    split_configuration,
+    split_text,
+)
+from lentilroad.version.text import compile_text
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Applied:
+    """Result of an accepted change; `head_value` and `parts` can be distributed."""
+
+    head: Head
+    head_value: bytes
+    parts: dict[str, bytes]
+    # False when the text has the same effect and wording as the version in force.
+    changed: bool = True
+
+
+OnApplied = Callable[[Applied], Awaitable[None]]
+
+
+def version_key(version: int) -> str:
+    """Return the key of a version's permanent record."""
+    return f"{VERSION_PREFIX}{version:012d}"
+
+
+class ConfigurationStore:
+    """Versions of the operators' configuration; versions only increase.
+
+    Parameters
+    ----------
+    key_value : KeyValueStore
+        The platform's service.
+    clock : Clock
+        Time of changes and pauses between attempts.
+    random : random.Random
+        Source of write ids and jitter.
+    on_applied : Callable, optional
+        Called with each accepted change, for example `Distribution.offer`.
+    """
+
+    def __init__(
+        self,
+        *,
+        key_value: KeyValueStore,
+        clock: Clock,
+        random: random_module.Random | None = None,
+        on_applied: OnApplied | None = None,
+    ) -> None:
+        self._key_value = key_value
+        self._clock = clock
+        self._random = random or random_module.SystemRandom()
+        self._on_applied = on_applied
+
+    async def read_head(self) -> Head | None:
+        """Return the newest accepted head, or None before the first one."""
+        item = await self._key_value.read(key=HEAD_KEY)
+        return decode_head(item.value) if item else None
+
+    async def read_version(self, version: int) -> Head:
+        """Return the head of one version.
+
+        Raises
+        ------
+        NotFoundError
+            The version does not exist.
+        """
+        head = await self.read_head()
+        if head is not None and head.version == version:
+            return head
+        return await self._read_record(version)
+
+    async def read_configuration(self, head: Head) -> Configuration:
+        """Return the typed configuration of a version."""
+        return join_configuration((await self._read_parts(head.parts)).values())
+
+    async def read_text(self, head: Head) -> str:
+        """Return the text that the operator applied."""
+        values = await self._read_parts(head.text_parts)
+        return b"".join(values[digest] for digest in head.text_parts).decode()
+
+    async def history(
+        self, count: int = HISTORY_DEFAULT_COUNT, *, before: int | None = None
+    ) -> list[Head]:
+        """Return who changed what and when, newest first.
+
+        Parameters
+        ----------
+        count : int
+            Versions to return at most.
+        before : int, optional
+            Return only versions below this one.
+        """
+        head = await self.read_head()
+        if head is None:
+            return []
+        newest = head.version if before is None else min(before - 1, head.version)
+        found = []
+        for version in range(newest, max(newest - count, 0), -1):
+            if version == head.version:
+                found.append(head)
+            else:
+                found.append(await self._read_record(version))
+        return found
+
+    async def apply(
+        self,
+        text: str,
+        author: str,
+        based_on_version: int,
+        *,
+        write_id: str | None = None,
+    ) -> Applied:
+        """Check a text and make it the next version.
+
+        Parameters
+        ----------
+        text : str
+            The whole YAML document.
+        author : str
+            Operator, for the audit.
+        based_on_version : int
+            Version that the operator saw; 0 before the first version.
+        write_id : str, optional
+            Identifies the change. Repeating a change with the same id after a lost
+            answer never applies it twice.
+
+        Raises
+        ------
+        InvalidTextError
+            The text has faults.
+        ConfigurationConflictError
+            Another operator was faster; says who changed what and how to go on.
+        UnavailableError
+            Nothing was changed.
+        OutcomeUnknownError
+            The answer to the write was lost and the service stays unavailable.
+        """
+        configuration = compile_text(text)
+        text_values = split_text(text)
+        return await self._change(
+            configuration=configuration,
+            parts=split_configuration(configuration),
+            text_parts={digest_of(value): value for value in text_values},
+            text_digests=[digest_of(value) for value in text_values],
+            author=author,
+            based_on_version=based_on_version,
+            write_id=write_id,
+        )
+
+    async def rollback(
+        self,
+        version: int,
+        author: str,
+        based_on_version: int,
+        *,
+        write_id: str | None = None,
+    ) -> Applied:
+        """Make the content of an earlier version the next version; see `apply`."""
+        old = await self.read_version(version)
+        parts = await self._read_parts(old.parts)
+        return await self._change(
+            configuration=join_configuration(parts.values()),
+            parts=parts,
+            text_parts={},
+            text_digests=old.text_parts,
+            author=author,
+            based_on_version=based_on_version,
+            write_id=write_id,
+            restored=version,
+        )
+
+    async def _change(
+        self,
+        *,
+        configuration: Configuration,
+        parts: dict[str, bytes],
+        text_parts: dict[str, bytes],
+        text_digests: list[str],
+        author: str,
+        based_on_version: int,
+        write_id: str | None,
+        restored: int | None = None,
+    ) -> Applied:
+        item = await self._key_value.read(key=HEAD_KEY)
+        current = decode_head(item.value) if item else None
+        write_id = write_id or f"{self._random.getrandbits(128):032x}"
+        written = await self._find_written(current, based_on_version + 1, write_id)
+        if written is not None:
+            return await self._applied(written, parts)
+        if (current.version if current else 0) != based_on_version:
+            raise await self._conflict(current, based_on_version, configuration)
+        if current is not None and _same_content(current, parts, text_digests):
+            return Applied(
+                head=current,
+                head_value=encode_head(current),
+                parts=parts,
+                changed=False,
+            )
+        before = await self.read_configuration(current) if current else None
+        changes = [str(one) for one in diff_configurations(before, configuration)]
+        head = Head(
+            version=based_on_version + 1,
+            parent=based_on_version,
+            author=author,
+            time_s=self._clock.time_s(),
+            write_id=write_id,
+            parts=list(parts),
+            text_parts=text_digests,
+            restored=restored,
+            changes=_shorten(changes),
+            action="rollback" if restored is not None else "apply",
+        )
+        known = {*current.parts, *current.text_parts} if current else set()
+        await self._write_parts({**parts, **text_parts}, known)
+        if item is not None:
+            await self._write_once(version_key(based_on_version), item.value)
+        await self._swap_head(head, item, configuration)
+        return await self._applied(head, parts)
+
+    async def _applied(self, head: Head, parts: dict[str, bytes]) -> Applied:
+        eliot.log_message(
+            message_type="version:applied",
+            version=head.version,
+            author=head.author,
+            action=head.action,
+            write_id=head.write_id,
+            change_count=len(head.changes),
+        )
+        applied = Applied(head=head, head_value=encode_head(head), parts=parts)
+        if self._on_applied is not None:
+            await self._on_applied(applied)
+        return applied
+
+    async def _find_written(
+        self, current: Head | None, version: int, write_id: str
+    ) -> Head | None:
+        """Return the version if it carries the write id, although it may be old."""
+        if current is None or current.version < version:
+            return None
+        head = current
+        if current.version > version:
+            head = await self._read_record(version)
+        return head if head.write_id == write_id else None
+
+    async def _swap_head(
+        self, head: Head, item: KeyValueItem | None, configuration: Configuration
+    ) -> None:
+        """Replace the head; a lost answer is resolved by the write id.
+
+        Every attempt expects the same revision, so at most one of them takes
+        effect, even when an earlier one arrives late.
+        """
+        may_be_written = False
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                await self._key_value.compare_and_swap(
+                    key=HEAD_KEY,
+                    value=encode_head(head),
+                    expected_revision=item.revision if item else 0,
+                )
+                return
+            except ConflictError:
+                if await self._own_write_won(head, configuration, may_be_written):
+                    return
+            except UnavailableError as error:
+                may_be_written = may_be_written or error.outcome != "not_run"
+            await self._pause(attempt)
+        if may_be_written:
+            raise _unknown(head)
+        raise UnavailableError(
+            "the key-value service is unavailable and the configuration is "
+            "unchanged; repeat the command when the service is back",
+            outcome="not_run",
+        )
+
+    async def _own_write_won(
+        self, head: Head, configuration: Configuration, may_be_written: bool
+    ) -> bool:
+        """Tell whether a refused swap was our own earlier attempt.
+
+        Returns False when that cannot be read at the moment.
+        """
+        try:
+            current = await self.read_head()
+            if await self._find_written(current, head.version, head.write_id):
+                return True
+        except UnavailableError as error:
+            if may_be_written:
+                return False
+            raise ConflictError(
+                "another operator changed the configuration first, and the "
+                "key-value service is unavailable; run `lentilroad history` later"
+            ) from error
+        raise await self._conflict(current, head.parent, configuration)
+
+    async def _conflict(
+        self, current: Head | None, based_on_version: int, wanted: Configuration
+    ) -> ConflictError:
+        return await conflict_error(
+            current=current,
+            based_on_version=based_on_version,
+            wanted=wanted,
+            read_record=self._read_record,
+            read_configuration=self.read_configuration,
+        )
+
+    async def _read_record(self, version: int) -> Head:
+        item = await self._key_value.read(key=version_key(version))
+        if item is None:
+            raise NotFoundError(
+                f"version {version} does not exist; `lentilroad history` lists versions"
+            )
+        return decode_head(item.value)
+
+    async def _read_parts(self, digests: Iterable[str]) -> dict[str, bytes]:
+        parts = {}
+        for digest in digests:
+            item = await self._key_value.read(key=PART_PREFIX + digest)
+            if item is None:
+                raise NotFoundError(
+                    f"part {digest} is missing in the key-value service; apply the "
+                    "operators' file again"
+                )
+            parts[digest] = item.value
+        return parts
+
+    async def _write_parts(self, parts: dict[str, bytes], known: set[str]) -> None:
+        for digest, value in parts.items():
+            if digest not in known:
+                await self._write_once(PART_PREFIX + digest, value)
+
+    async def _write_once(self, key: str, value: bytes) -> None:
+        """Write a value that never changes; an existing one is the same."""
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                await self._key_value.compare_and_swap(
+                    key=key, value=value, expected_revision=0
+                )
+                return
+            except ConflictError:
+                return
+            except UnavailableError:
+                await self._pause(attempt)
+        raise UnavailableError(
+            "the key-value service is unavailable and the configuration is "
+            "unchanged; repeat the command when the service is back",
+            outcome="not_run",
+        )
+
+    async def _pause(self, attempt: int) -> None:
+        delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**attempt)
+        await self._clock.sleep(delay_s * self._random.uniform(0.5, 1.0))
+
+
+def _unknown(head: Head) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        f"the key-value service did not confirm version {head.version}; repeat the "
+        f"command with --write-id {head.write_id}, which cannot apply it twice"
+    )
+
+
+def _shorten(changes: list[str]) -> list[str]:
+    if len(changes) <= CHANGES_IN_HEAD:
+        return changes
+    rest = len(changes) - CHANGES_IN_HEAD
+    return [*changes[:CHANGES_IN_HEAD], f"and {rest} more changes"]
+
+
+def _same_content(head: Head, parts: dict[str, bytes], text_digests: list[str]) -> bool:
+    return head.parts == list(parts) and head.text_parts == text_digests
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -457,6 +457,8 @@
 
     version: int
     head: bytes = b""
+    # Address from which the parts of the version can be pulled.
+    sender: str = ""
 
 
 class ConfigDigestReply(Message):
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements."""
--- /dev/null
+++ b/tests/version/test_store.py
@@ -0,0 +1,174 @@
+"""Guard against lost, doubled or reverted changes in the configuration store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from lentilroad.clock import LoopClock
+from lentilroad.errors import OutcomeUnknownError, UnavailableError
+from lentilroad.standins.virtual_loop import run_virtual
+from lentilroad.version.conflict import ConfigurationConflictError
+from lentilroad.version.store import ConfigurationStore
+from tests.fakes.key_value import FakeKeyValueStore
+from tests.version.texts import example_text
+
+TEXT = example_text("ndende")
+LONGER = TEXT.replace("turns: 80", "turns: 90")
+OTHER = TEXT.replace("requests_per_s: 400", "requests_per_s: 300")
+
+
+def _store(key_value, seed=1):
+    clock = LoopClock(loop=asyncio.get_running_loop())
+    return ConfigurationStore(
+        key_value=key_value, clock=clock, random=random.Random(seed)
+    )
+
+
+def test_versions_rise_and_the_audit_names_author_and_change():
+    """A change without an author or a change list cannot be audited."""
+
+    async def main():
+        store = _store(FakeKeyValueStore())
+        await store.apply(TEXT, "ana", 0)
+        await store.apply(LONGER, "ben", 1)
+        heads = await store.history()
+        assert [head.version for head in heads] == [2, 1]
+        assert heads[0].author == "ben"
+        assert heads[0].changes == ["~ budget.turns: 80 -> 90"]
+        assert await store.read_text(heads[0]) == LONGER
+
+    run_virtual(main())
+
+
+def test_rollback_writes_a_higher_version_with_the_old_content():
+    """A rollback that lowers the version would be refused by every process."""
+
+    async def main():
+        store = _store(FakeKeyValueStore())
+        first = await store.apply(TEXT, "ana", 0)
+        await store.apply(LONGER, "ben", 1)
+        rolled = await store.rollback(1, "ana", 2)
+        assert rolled.head.version == 3
+        assert rolled.head.parts == first.head.parts
+        assert rolled.head.restored == 1
+        assert await store.read_text(rolled.head) == TEXT
+
+    run_virtual(main())
+
+
+def test_racing_operator_learns_who_changed_what_and_how_to_rebase():
+    """A refusal that names no author and no version cannot be acted on."""
+
+    async def main():
+        store = _store(FakeKeyValueStore())
+        await store.apply(TEXT, "ana", 0)
+        await store.apply(LONGER, "ben", 1)
+        with pytest.raises(ConfigurationConflictError) as caught:
+            await store.apply(TEXT.replace("turns: 80", "turns: 70"), "cora", 1)
+        error = caught.value
+        assert error.current_version == 2
+        assert error.overlapping == ["budget.turns"]
+        for part in ("ben", "version 2", "80 -> 90", "--based-on 2"):
+            assert part in error.message
+        assert (await store.read_head()).version == 2
+
+    run_virtual(main())
+
+
+def test_lost_answer_is_recognised_by_write_id():
+    """Applying a change twice after a lost answer would make two versions."""
+
+    async def main():
+        key_value = FakeKeyValueStore()
+        store = _store(key_value)
+        await store.apply(TEXT, "ana", 0)
+        original = key_value.compare_and_swap
+
+        async def lose_head_answer(*, key, value, expected_revision):
+            key_value.lose_next_reply = key == "config/head"
+            return await original(
+                key=key, value=value, expected_revision=expected_revision
+            )
+
+        key_value.compare_and_swap = lose_head_answer
+        applied = await store.apply(LONGER, "ben", 1)
+        assert applied.head.version == 2
+        assert (await store.read_head()).version == 2
+
+    run_virtual(main())
+
+
+def test_repeated_write_id_finds_the_version_under_a_later_one():
+    """A repeat after another operator's change must not report a conflict."""
+
+    async def main():
+        store = _store(FakeKeyValueStore())
+        await store.apply(TEXT, "ana", 0)
+        first = await store.apply(LONGER, "ben", 1, write_id="w1")
+        await store.apply(OTHER, "cora", 2)
+        again = await store.apply(LONGER, "ben", 1, write_id="w1")
+        assert again.head == first.head
+        assert (await store.read_head()).version == 3
+
+    run_virtual(main())
+
+
+def test_outage_leaves_the_version_and_says_not_run():
+    """An outage before the head is written must not look like an unknown outcome."""
+
+    async def main():
+        key_value = FakeKeyValueStore()
+        store = _store(key_value)
+        await store.apply(TEXT, "ana", 0)
+        key_value.down = True
+        with pytest.raises(UnavailableError) as caught:
+            await store.apply(LONGER, "ben", 1)
+        assert caught.value.outcome == "not_run"
+        key_value.down = False
+        assert (await store.read_head()).version == 1
+
+    run_virtual(main())
+
+
+def test_unconfirmed_head_write_is_unknown_and_names_the_write_id():
+    """Without the write id an operator cannot repeat the change safely."""
+
+    async def main():
+        key_value = FakeKeyValueStore()
+        store = _store(key_value)
+        await store.apply(TEXT, "ana", 0)
+        original = key_value.compare_and_swap
+
+        async def fail_after_head(*, key, value, expected_revision):
+            if key != "config/head":
+                return await original(
+                    key=key, value=value, expected_revision=expected_revision
+                )
+            await original(key=key, value=value, expected_revision=expected_revision)
+            key_value.down = True
+            raise UnavailableError("no answer", outcome="unknown")
+
+        key_value.compare_and_swap = fail_after_head
+        with pytest.raises(OutcomeUnknownError) as caught:
+            await store.apply(LONGER, "ben", 1, write_id="w7")
+        assert "--write-id w7" in caught.value.message
+        key_value.down = False
+        assert (await store.read_head()).write_id == "w7"
+
+    run_virtual(main())
+
+
+def test_a_small_change_rewrites_few_bytes():
+    """Re-sending the whole configuration for one caller exceeds the byte target."""
+
+    async def main():
+        store = _store(FakeKeyValueStore())
+        first = await store.apply(TEXT, "ana", 0)
+        second = await store.apply(LONGER, "ben", 1)
+        new = set(second.parts) - set(first.parts)
+        assert len(new) == 1
+
+    run_virtual(main())
