Name the operations of the shipped examples in workloads and the stand-in

Cause: the workloads, the stand-in and the shipped examples used different names. Change: one set of names.

--- a/lentilroad/load/client.py
+++ b/lentilroad/load/client.py
@@ -54,7 +54,7 @@
     random_source : random.Random
         Chooses entries and jitter.
     expected_answer : callable or None
-        Returns the text that the engine must have produced for a prompt, a list of
+        Returns the text that the engine must have produced for a model, a list of
         (role, content) pairs and a token limit; None skips the check.
     """
 
@@ -63,7 +63,7 @@
     key: str
     clock: Clock
     random_source: random.Random
-    expected_answer: Callable[[list[tuple[str, str]], int], str] | None = None
+    expected_answer: Callable[[str, list[tuple[str, str]], int], str] | None = None
 
     def _url(self, path: str) -> str:
         return self.random_source.choice(self.base_urls) + path
@@ -204,7 +204,9 @@
         text = await self._stream(body, headers, result)
         result.turns += 1
         if self.expected_answer is not None:
-            expected = self.expected_answer(result.conversation, step.max_tokens)
+            expected = self.expected_answer(
+                program.model, result.conversation, step.max_tokens
+            )
             if text != expected:
                 result.problems.append(
                     f"turn {number}: the answer differs from what the engine produced"
--- a/lentilroad/load/workloads.py
+++ b/lentilroad/load/workloads.py
@@ -60,20 +60,20 @@
 
 NDENDE = Deployment(
     name="ndende",
-    model="tango-coach",
+    model="partner-coach",
     topics=["find a practice partner", "plan a week of practicas", "book a floor"],
-    lookups=[("membership", "find_partners")],
-    effects=[("booking", "book_floor")],
+    lookups=[("membership", "lookup")],
+    effects=[("floor-booking", "book")],
     sub_agent_probability=0.2,
     mean_turns=4.0,
     preamble="You coach members of a dance co-operative. " * 12,
 )
 HILL_COUNTRY = Deployment(
     name="hill_country",
-    model="lullaby-coach",
+    model="booth-coach",
     topics=["coach a lullaby", "draft a lyric sheet", "book a booth"],
-    lookups=[("booking", "find_booths")],
-    effects=[("booking", "hold_booth"), ("payment", "charge_card")],
+    lookups=[("booth-booking", "lookup")],
+    effects=[("booth-booking", "hold"), ("payment", "charge")],
     sub_agent_probability=0.1,
     mean_turns=5.0,
     preamble="You help parents record lullabies for their children. " * 12,
--- a/lentilroad/standins/service.py
+++ b/lentilroad/standins/service.py
@@ -1,6 +1,6 @@
 """Stand-in of a plain service with bookings, holds and charges.
 
-Operations: ``book``, ``hold``, ``charge``, ``cancel`` and ``look_up``. Every
+Operations: those of the shipped examples, and ``look_up``. Every
 execution is recorded under the call id; the service itself runs a repeated call
 again, so that a test can count how often a call was sent.
 """
@@ -18,8 +18,9 @@
 from lentilroad.clock import Clock
 from lentilroad.errors import OutcomeUnknownError, OverloadedError, UnavailableError
 
-EFFECTS = ("book", "hold", "charge", "cancel")
-OPERATIONS = (*EFFECTS, "look_up")
+EFFECTS = ("book", "hold", "charge", "cancel", "renew", "refund", "release")
+LOOKUPS = ("look_up", "lookup", "quote", "receipt")
+OPERATIONS = EFFECTS + LOOKUPS
 _FAULTS = (
     "hanging",
     "hang_before_effect",
