Connect the call runner to the scheduling queue

Cause: the queue of lentilroad/request refuses in push and hands displaced calls back through take_refused, unlike the interface that the runner had assumed.

`CallRunner` takes the limit as a function for its load report. A call that is given up before its task's first step keeps its task, because a task cancelled that early never gives its slot back.

--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -19,9 +19,9 @@
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import PeerServer, start_server
 from lentilroad.process.heartbeats import EntryHeartbeats
+from lentilroad.request.concurrency import ConcurrencyLimit
+from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
-from lentilroad.upstream.fifo import FifoQueue
-from lentilroad.upstream.interfaces import CallQueue
 from lentilroad.upstream.running import CallLimits
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
 
@@ -94,7 +94,6 @@
     server_ssl_context: ssl.SSLContext | None = None,
     client_ssl_context: ssl.SSLContext | None = None,
     clock: Clock | None = None,
-    queue: CallQueue | None = None,
     limits: CallLimits | None = None,
     on_reply: Callable[[str, SidecarHeartbeatReply], None] | None = None,
 ) -> Sidecar:
@@ -124,8 +123,6 @@
         Contexts for mutual TLS between lentilroad processes.
     clock : Clock, optional
         Source of time.
-    queue : CallQueue, optional
-        Queue in front of the upstream; first-in, first-out when omitted.
     limits : CallLimits, optional
         Times after which calls are given up.
     on_reply : callable, optional
@@ -148,10 +145,12 @@
     )
     engine = HttpEngine(base_url=upstream_url) if kind == "engine" else None
     service = HttpService(base_url=upstream_url) if kind == "service" else None
+    concurrency = ConcurrencyLimit(clock=clock)
     runner = CallRunner(
         record=record,
         clock=clock,
-        queue=queue or FifoQueue(clock=clock),
+        queue=CallQueue(clock=clock, concurrency=concurrency),
+        limit=lambda: concurrency.limit,
         engine=engine,
         service=service,
         limits=limits,
--- a/lentilroad/upstream/calls.py
+++ b/lentilroad/upstream/calls.py
@@ -22,11 +22,12 @@
 from lentilroad.upstream import const
 from lentilroad.upstream.engine_care import EngineCare
 from lentilroad.upstream.fencing import EpochFence
-from lentilroad.upstream.interfaces import CallQueue
+from lentilroad.upstream.interfaces import RunnerQueue
 from lentilroad.upstream.ledger import CallRecord, Ledger
 from lentilroad.upstream.output import OutputBuffer
 from lentilroad.upstream.reading import read_output
-from lentilroad.upstream.refusal import refuse_reason, refused
+from lentilroad.upstream.refusal import check_acceptable, refused
+from lentilroad.upstream.resolving import resolve_call
 from lentilroad.upstream.running import CallExecution, CallLimits
 from lentilroad.wire import messages as m
 from lentilroad.wire import services
@@ -45,8 +46,10 @@
         This sidecar's directory entry.
     clock : Clock
         Source of time; must agree with the running event loop.
-    queue : CallQueue
+    queue : RunnerQueue
         Queue in front of the upstream.
+    limit : callable
+        Returns how many calls may run at the same time, for the load report.
     engine : Engine, optional
         The upstream, when it is an engine.
     service : Service, optional
@@ -62,7 +65,8 @@
         *,
         record: m.SidecarRecord,
         clock: Clock,
-        queue: CallQueue,
+        queue: RunnerQueue,
+        limit: Callable[[], int],
         engine: Engine | None = None,
         service: Service | None = None,
         ledger: Ledger | None = None,
@@ -72,6 +76,7 @@
         self.config_version = 0
         self._clock = clock
         self._queue = queue
+        self._limit = limit
         self._engine = engine
         self.ledger = ledger or Ledger()
         self._limits = limits or CallLimits()
@@ -119,7 +124,8 @@
                 tasks.append(record.task)
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=const.CLOSE_LIMIT_S)
 
     # Dispatch
 
@@ -172,15 +178,6 @@
         deadline_s = None
         if request.deadline_time_s is not None:
             deadline_s = now_s + request.deadline_time_s - self._clock.time_s()
-        error = self._refuse_reason(request, deadline_s, now_s)
-        if error is not None:
-            eliot.log_message(
-                message_type="upstream:refused",
-                call_id=request.call_id,
-                code=error.code,
-                outcome=error.outcome,
-            )
-            return self.ledger.refuse(request.call_id, error, now_s=now_s).result
         record = CallRecord(
             call_id=request.call_id,
             program_id=request.program_id,
@@ -189,24 +186,28 @@
             created_s=now_s,
             deadline_s=deadline_s,
         )
-        self.ledger.add(record)
-        self._execution.enqueue(record)
+        try:
+            check_acceptable(request=request, record=self.record)
+            self._check_capacity(deadline_s, now_s)
+            self._execution.enqueue(record)
+        except LentilroadError as error:
+            eliot.log_message(
+                message_type="upstream:refused",
+                call_id=request.call_id,
+                code=error.code,
+                outcome=error.outcome,
+            )
+            return self.ledger.refuse(request.call_id, error, now_s=now_s).result
         return record
 
-    def _refuse_reason(
-        self, request: m.DispatchRequest, deadline_s: float | None, now_s: float
-    ) -> LentilroadError | None:
-        error = refuse_reason(request=request, record=self.record)
-        if error is not None:
-            return error
+    def _check_capacity(self, deadline_s: float | None, now_s: float) -> None:
         if self.ledger.full:
-            return OverloadedError(
+            raise OverloadedError(
                 "sidecar has too many recent calls; choose another upstream",
                 retry_after_ms=const.RETRY_AFTER_MS,
             )
         if deadline_s is not None and deadline_s <= now_s:
-            return DeadlineExceededError("the deadline has passed; allow more time")
-        return self._queue.refuse_reason(request.priority, deadline_s)
+            raise DeadlineExceededError("the deadline has passed; allow more time")
 
     # Output and records
 
@@ -283,33 +284,12 @@
         error = self._stale(request.shard, request.epoch)
         if error is not None:
             return m.ResolveReply(state="unknown", error=error)
-        record = self.ledger.get(request.call_id)
-        if record is not None:
-            return self._resolve_record(record)
-        settled = self.ledger.settled(request.call_id)
-        if settled is None:
-            settled = self.ledger.block(
-                request.call_id, now_s=self._clock.monotonic_s()
-            )
-            if request.incarnation != self.record.incarnation:
-                # An earlier process may have run the call.
-                settled.result.error.outcome = "unknown"
-        error = settled.result.error
-        if settled.state != "released" and error.outcome == "not_run":
-            return m.ResolveReply(state="never_seen", error=error)
-        return m.ResolveReply(state="unknown", error=error)
-
-    def _resolve_record(self, record: CallRecord) -> m.ResolveReply:
-        if record.result is None:
-            record.orphaned_s = self._clock.monotonic_s()
-            return m.ResolveReply(state="running")
-        if isinstance(record.result, m.Finished):
-            return m.ResolveReply(state="done", finished=record.result)
-        error = record.result.error
-        if error.outcome == "not_run":
-            return m.ResolveReply(state="never_seen", error=error)
-        state = "done" if error.outcome == "ran" else "unknown"
-        return m.ResolveReply(state=state, error=error, text=record.result.text)
+        return resolve_call(
+            ledger=self.ledger,
+            request=request,
+            incarnation=self.record.incarnation,
+            now_s=self._clock.monotonic_s(),
+        )
 
     def _stale(self, shard: str, epoch: int) -> m.WireError | None:
         try:
@@ -360,7 +340,7 @@
         report = m.LoadReport(
             running=len(self._execution.running),
             queued=len(self._queue),
-            limit=self._queue.limit,
+            limit=self._limit(),
             cached_tokens=self.programs.cached_tokens(),
             time_per_token_s=self._execution.time_per_token_s,
             queue_wait_s=self._execution.queue_wait_s,
@@ -381,6 +361,7 @@
         """Give up on hanging and abandoned calls, and drop what is too old."""
         now_s = self._clock.monotonic_s()
         self._execution.give_up_hanging()
+        self._execution.answer_refused()
         for record in list(self.ledger.records.values()):
             if record.result is None:
                 self._check_orphan(record, now_s)
--- a/lentilroad/upstream/const.py
+++ b/lentilroad/upstream/const.py
@@ -25,6 +25,8 @@
 DRAINING_RETRY_AFTER_MS = 100
 # After its last call a draining sidecar waits this long for owners to take results.
 DRAIN_RELEASE_WAIT_S = 10.0
+# An engine that does not answer cancels must not delay the end of the process.
+CLOSE_LIMIT_S = 2.0
 ENGINE_POLL_INTERVAL_S = 1.0
 # Smoothing of measured times: the last ten values dominate.
 SMOOTHING = 0.2
--- a/lentilroad/upstream/interfaces.py
+++ b/lentilroad/upstream/interfaces.py
@@ -5,55 +5,52 @@
 from typing import Protocol
 
 from lentilroad.errors import LentilroadError
+from lentilroad.upstream.ledger import CallRecord
 from lentilroad.wire.messages import Priority
 
 
-class QueuedCall(Protocol):
-    """Call in a queue."""
-
-    call_id: str
-    program_id: str
-
-
-class CallQueue(Protocol):
+class RunnerQueue(Protocol):
     """Queue in front of an upstream, with a limit on running calls.
 
-    Times are seconds on the runner's monotonic clock.
+    Implemented by `lentilroad.request.queue.CallQueue` and
+    `lentilroad.upstream.fifo.FifoQueue`. Deadlines are on the runner's monotonic
+    clock; errors have the outcome ``not_run``.
     """
 
-    @property
-    def limit(self) -> int:
-        """Calls that may run at the same time."""
-        ...
-
     def __len__(self) -> int:
         """Return the number of calls that wait."""
         ...
 
-    def refuse_reason(
-        self, priority: Priority, deadline_s: float | None
-    ) -> LentilroadError | None:
-        """Return why a call is refused now (outcome ``not_run``), or None."""
-        ...
-
     def push(
-        self, call: QueuedCall, priority: Priority, deadline_s: float | None
+        self,
+        call: CallRecord,
+        *,
+        priority: Priority,
+        deadline_s: float | None = None,
+    ) -> int:
+        """Add a call and return its position; raises when it is refused."""
+        ...
+
+    def pop_ready(self) -> CallRecord | None:
+        """Return the next call and take a slot; None when none may start."""
+        ...
+
+    def finished(
+        self,
+        call: CallRecord,
+        *,
+        service_s: float,
+        succeeded: bool = True,
+        time_per_token_s: float | None = None,
+        engine_queue_s: float = 0.0,
     ) -> None:
-        """Add a call."""
-        ...
-
-    def pop_ready(self) -> QueuedCall | None:
-        """Return the next call and count it as running; None when none may start."""
-        ...
-
-    def remove(self, call: QueuedCall) -> bool:
-        """Take a waiting call out; return False when it does not wait."""
+        """Give back the slot of a call that `pop_ready` returned."""
         ...
 
-    def done(self, call: QueuedCall, *, duration_s: float) -> None:
-        """Count a call returned by `pop_ready` as ended."""
+    def remove(self, call: CallRecord) -> bool:
+        """Drop a waiting call; return whether it was waiting."""
         ...
 
-    def observe_time_per_token(self, time_per_token_s: float) -> None:
-        """Take a measured time between tokens into account."""
+    def take_refused(self) -> list[tuple[CallRecord, LentilroadError]]:
+        """Return the calls refused since they were queued, with their error."""
         ...
--- a/lentilroad/upstream/ledger.py
+++ b/lentilroad/upstream/ledger.py
@@ -34,6 +34,7 @@
     first_output_s: float = 0.0
     last_output_s: float = 0.0
     tokens: int = 0
+    time_per_token_s: float | None = None
     ended_s: float = 0.0
     result: Finished | Refused | None = None
     released: bool = False
@@ -41,6 +42,8 @@
     owners: int = 0
     orphaned_s: float = 0.0
     task: asyncio.Task[None] | None = None
+    # Whether the task has run its first step.
+    begun: bool = False
     timer: asyncio.TimerHandle | None = None
     changed: Notifier = field(default_factory=Notifier)
 
--- a/lentilroad/upstream/refusal.py
+++ b/lentilroad/upstream/refusal.py
@@ -18,30 +18,27 @@
     return Refused(error=to_wire_error(error), text=text)
 
 
-def refuse_reason(
-    *, request: DispatchRequest, record: SidecarRecord
-) -> LentilroadError | None:
-    """Return why this sidecar does not take the call, or None."""
+def check_acceptable(*, request: DispatchRequest, record: SidecarRecord) -> None:
+    """Raise the reason why this sidecar does not take the call, if there is one."""
     if request.incarnation and request.incarnation != record.incarnation:
-        return UnavailableError(
+        raise UnavailableError(
             "sidecar has restarted; choose it again",
             # The earlier process may have run the call.
             outcome="not_run" if request.idempotent else "unknown",
             retry_after_ms=DRAINING_RETRY_AFTER_MS,
         )
     if (request.kind == "chat") != (record.kind == "engine"):
-        return InvalidRequestError(
+        raise InvalidRequestError(
             f"{record.upstream_id} does not take {request.kind} calls; "
             "read the sidecar directory again"
         )
     name = request.model if request.kind == "chat" else request.service
     if record.names and name not in record.names:
-        return NotFoundError(
+        raise NotFoundError(
             f"{record.upstream_id} does not serve {name}; choose another upstream"
         )
     if record.state != "serving":
-        return UnavailableError(
+        raise UnavailableError(
             "sidecar is draining; choose another upstream",
             retry_after_ms=DRAINING_RETRY_AFTER_MS,
         )
-    return None
--- a/lentilroad/upstream/running.py
+++ b/lentilroad/upstream/running.py
@@ -20,7 +20,7 @@
 from lentilroad.upstream import const
 from lentilroad.upstream.engine_care import EngineCare
 from lentilroad.upstream.execution import run_chat, run_service
-from lentilroad.upstream.interfaces import CallQueue
+from lentilroad.upstream.interfaces import RunnerQueue
 from lentilroad.upstream.ledger import CallRecord, Ledger
 from lentilroad.upstream.refusal import refused
 from lentilroad.wire import messages as m
@@ -46,7 +46,7 @@
     ----------
     clock : Clock
         Source of time.
-    queue : CallQueue
+    queue : RunnerQueue
         Queue in front of the upstream.
     engine, service : Engine or Service, optional
         The upstream.
@@ -62,7 +62,7 @@
         self,
         *,
         clock: Clock,
-        queue: CallQueue,
+        queue: RunnerQueue,
         engine: Engine | None,
         service: Service | None,
         ledger: Ledger,
@@ -83,35 +83,49 @@
         self.changed = Notifier()
 
     def enqueue(self, record: CallRecord) -> None:
-        """Queue a call and start it when a slot is free."""
+        """Queue a call and start it when a slot is free.
+
+        Raises a `LentilroadError` with the outcome ``not_run`` when the queue refuses
+        the call; it is then not recorded.
+        """
+        self.queue.push(
+            record, priority=record.request.priority, deadline_s=record.deadline_s
+        )
+        self._ledger.add(record)
         if record.deadline_s is not None:
             record.timer = asyncio.get_running_loop().call_later(
                 record.deadline_s - record.created_s, self.expire, record
             )
-        self.queue.push(record, record.request.priority, record.deadline_s)
         self.start_ready()
 
     def start_ready(self) -> None:
         """Start calls while the queue has a free slot."""
-        while True:
-            record = self.queue.pop_ready()
-            if record is None:
-                return
-            assert isinstance(record, CallRecord)
-            now_s = self._clock.monotonic_s()
-            wait_s = now_s - record.created_s
-            self.queue_wait_s += const.SMOOTHING * (wait_s - self.queue_wait_s)
-            record.started_s = now_s
-            record.last_output_s = now_s
-            record.changed.notify()
-            self.running[record.call_id] = record
-            if record.request.kind == "chat":
-                self._care.programs.started(record.program_id, now_s=now_s)
-            record.task = asyncio.ensure_future(self._execute(record))
+        while (record := self.queue.pop_ready()) is not None:
+            self._start(record)
+        self.answer_refused()
+
+    def answer_refused(self) -> None:
+        """Answer the calls that the queue has refused since they were queued."""
+        for record, error in self.queue.take_refused():
+            self.stop(record, error)
+
+    def _start(self, record: CallRecord) -> None:
+        now_s = self._clock.monotonic_s()
+        wait_s = now_s - record.created_s
+        self.queue_wait_s += const.SMOOTHING * (wait_s - self.queue_wait_s)
+        record.started_s = now_s
+        record.last_output_s = now_s
+        record.changed.notify()
+        self.running[record.call_id] = record
+        if record.request.kind == "chat":
+            self._care.programs.started(record.program_id, now_s=now_s)
+        record.task = asyncio.ensure_future(self._execute(record))
 
     async def _execute(self, record: CallRecord) -> None:
+        record.begun = True
         try:
-            self.end(record, await self._run(record))
+            if record.result is None:
+                self.end(record, await self._run(record))
         except asyncio.CancelledError:
             if record.result is None:
                 error = UnavailableError("sidecar stops", outcome="unknown")
@@ -159,7 +173,13 @@
             tokens = usage.prompt_tokens + usage.completion_tokens
             self._care.programs.ended(record.program_id, tokens=tokens, now_s=now_s)
             self._care.wake()
-        self.queue.done(record, duration_s=now_s - (record.started_s or now_s))
+        self.queue.finished(
+            record,
+            service_s=now_s - (record.started_s or now_s),
+            succeeded=isinstance(record.result, m.Finished),
+            time_per_token_s=record.time_per_token_s,
+            engine_queue_s=self._engine_queue_s(record),
+        )
         self.start_ready()
         self.changed.notify()
 
@@ -174,7 +194,11 @@
         if record.timer is not None:
             record.timer.cancel()
             record.timer = None
-        self._measure(record, now_s)
+        self._measure(record)
+        # The prompt is not needed any more, and a repeat only joins the call.
+        record.request = msgspec.structs.replace(
+            record.request, messages=[], payload=b"", forced_prefix=""
+        )
         record.output.close()
         record.changed.notify()
         if record.released:
@@ -182,15 +206,26 @@
         else:
             self._ledger.end(record)
 
-    def _measure(self, record: CallRecord, now_s: float) -> None:
-        if record.tokens < 2 or record.started_s is None:
+    def _measure(self, record: CallRecord) -> None:
+        if record.tokens < 2:
             return
-        time_per_token_s = (record.last_output_s - record.first_output_s) / (
-            record.tokens - 1
-        )
-        change_s = time_per_token_s - self.time_per_token_s
+        span_s = record.last_output_s - record.first_output_s
+        record.time_per_token_s = span_s / (record.tokens - 1)
+        change_s = record.time_per_token_s - self.time_per_token_s
         self.time_per_token_s += const.SMOOTHING * change_s
-        self.queue.observe_time_per_token(time_per_token_s)
+
+    def _engine_queue_s(self, record: CallRecord) -> float:
+        """Return the first-token time beyond the prefill time of the prompt."""
+        load = self._care.load
+        if load is None or not load.prefill_tokens_per_s:
+            return 0.0
+        if not isinstance(record.result, m.Finished) or not record.tokens:
+            return 0.0
+        usage = record.result.usage
+        uncached = usage.prompt_tokens - usage.cached_tokens
+        expected_s = uncached / load.prefill_tokens_per_s + load.time_per_token_s
+        first_s = record.first_output_s - (record.started_s or 0.0)
+        return max(0.0, first_s - expected_s)
 
     def stop(self, record: CallRecord, error: LentilroadError) -> None:
         """Give up on a call: answer at once, then clean up."""
@@ -200,10 +235,11 @@
             self.queue.remove(record)
             error.outcome = "not_run"
             # Recorded as refused, so that it never starts.
-            self.end(record, refused(error, record.request.forced_prefix))
+            self.end(record, refused(error, record.output.text()))
             return
         self.end(record, self._failure(record, error))
-        if record.task is not None:
+        # A task that is cancelled before its first step would never clean up.
+        if record.task is not None and record.begun:
             record.task.cancel()
 
     def expire(self, record: CallRecord) -> None:
