--- /dev/null
+++ b/lentilroad/program/replication.py
@@ -0,0 +1,301 @@
+"""Stream of a shard's records from its owner to its standby."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from eliot import log_message
+
+from lentilroad.clock import Clock
+from lentilroad.errors import LentilroadError, NotOwnerError, UnavailableError
+from lentilroad.program import const
+from lentilroad.program.records import (
+    CopyReset,
+    Ended,
+    Opened,
+    ProgramState,
+    Record,
+    Snapshot,
+    TurnFinished,
+    TurnStarted,
+    apply_record,
+    encode_record,
+)
+from lentilroad.wire.messages import ReplicateReply, ReplicateRequest, ShardRecord
+from lentilroad.wire.services import REPLICATE, Method
+
+Call = Callable[[str, Method, Any, float], Awaitable[Any]]
+Body = Opened | TurnStarted | TurnFinished | Ended
+
+
+class ShardTable(Protocol):
+    """What this package needs to know about shards."""
+
+    def record(self, shard: str) -> ShardRecord | None:
+        """Return the newest known record."""
+        ...
+
+    def my_epoch(self, shard: str) -> int | None:
+        """Return the epoch if this entry owns the shard."""
+        ...
+
+
+@dataclass(slots=True, kw_only=True)
+class _Pending:
+    # None only tells the standby the epoch.
+    state: ProgramState | None
+    # None only makes sure that the standby has the program.
+    record: Record | None
+    done: asyncio.Future[None]
+
+
+def not_owner(shard: str) -> NotOwnerError:
+    """Return the error for a shard that this entry does not own."""
+    return NotOwnerError(
+        f"this entry does not own shard {shard}; look its owner up again",
+        retry_after_ms=const.NOT_OWNER_RETRY_AFTER_MS,
+    )
+
+
+class ShardReplicator:
+    """Send a shard's records in order and apply them once they are acknowledged.
+
+    Records that arrive while a call is outstanding form the next batch.
+
+    Parameters
+    ----------
+    shard : str
+        Shard whose records are sent.
+    address : str
+        Address of this entry.
+    shard_table : ShardTable
+        Current record of the shard.
+    call : Callable
+        Sends a message to a peer.
+    clock : Clock
+        Source of time.
+    on_stale : Callable
+        Called when the standby refused the epoch of this entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: str,
+        address: str,
+        shard_table: ShardTable,
+        call: Call,
+        clock: Clock,
+        on_stale: Callable[[str, int], None],
+    ) -> None:
+        self._shard = shard
+        self._address = address
+        self._shard_table = shard_table
+        self._call = call
+        self._clock = clock
+        self._on_stale = on_stale
+        self._pending: deque[_Pending] = deque()
+        self._last_sequence: dict[str, int] = {}
+        # Programs that the current standby has in full.
+        self._copied: set[str] = set()
+        self._standby = ""
+        self._told_epoch = 0
+        self._reset_needed = True
+        self._task: asyncio.Task[None] | None = None
+        self._closed = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits for the standby."""
+        return not self._pending
+
+    def has_copy(self, program_id: str) -> bool:
+        """Whether the current standby has the program in full."""
+        self._note_pair()
+        return not self._standby or program_id in self._copied
+
+    def needs_hello(self) -> bool:
+        """Whether the standby has not heard of the current epoch."""
+        self._note_pair()
+        epoch = self._shard_table.my_epoch(self._shard)
+        return bool(self._standby) and epoch is not None and epoch != self._told_epoch
+
+    async def append(self, state: ProgramState, body: Body) -> None:
+        """Add a record of a program and wait until it is acknowledged and applied.
+
+        Raises
+        ------
+        NotOwnerError
+            This entry no longer owns the shard; the record may have been applied.
+        """
+        last = self._last_sequence.get(state.program_id, state.sequence)
+        record = Record(
+            program_id=state.program_id,
+            sequence=last + 1,
+            time_s=self._clock.time_s(),
+            body=body,
+        )
+        self._last_sequence[state.program_id] = record.sequence
+        await self._enqueue(state, record)
+
+    async def copy(self, state: ProgramState) -> None:
+        """Make sure that the current standby has the program."""
+        await self._enqueue(state, None)
+
+    async def hello(self) -> None:
+        """Tell the standby the current epoch."""
+        await self._enqueue(None, None)
+
+    def forget(self, program_id: str) -> None:
+        """Drop what is kept about a program that no longer exists."""
+        self._copied.discard(program_id)
+        self._last_sequence.pop(program_id, None)
+
+    def close(self) -> None:
+        """Fail what is pending; the shard is lost."""
+        self._closed = True
+        self._fail_pending(not_owner(self._shard))
+
+    async def _enqueue(self, state: ProgramState | None, record: Record | None) -> None:
+        if self._closed:
+            raise not_owner(self._shard)
+        done = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(state=state, record=record, done=done))
+        if self._task is None:
+            self._task = asyncio.create_task(self._send_pending())
+        await done
+
+    def _fail_pending(self, error: LentilroadError) -> None:
+        while self._pending:
+            pending = self._pending.popleft()
+            if not pending.done.done():
+                pending.done.set_exception(error)
+
+    async def _send_pending(self) -> None:
+        try:
+            while self._pending:
+                await self._send_batch()
+        finally:
+            self._task = None
+
+    async def _send_batch(self) -> None:
+        pair = self._note_pair()
+        epoch = self._shard_table.my_epoch(self._shard)
+        if epoch is None or pair is None:
+            self._fail_pending(not_owner(self._shard))
+            return
+        if not self._standby:
+            self._acknowledge(len(self._pending))
+            return
+        count, records, included = self._encode_batch()
+        reply = await self._send(epoch, records)
+        if self._closed:
+            return
+        if reply is None:
+            await self._clock.sleep(const.REPLICATE_RETRY_S)
+            return
+        if self._note_pair() != pair:
+            # The acknowledgement is of a standby that has been replaced.
+            return
+        if reply.accepted:
+            self._told_epoch = epoch
+            self._reset_needed = False
+            self._copied |= included
+            self._acknowledge(count)
+            return
+        if reply.missing_program_ids:
+            self._copied -= set(reply.missing_program_ids)
+            return
+        self._refused(epoch, reply.highest_epoch)
+
+    def _refused(self, epoch: int, highest_epoch: int) -> None:
+        current = self._shard_table.my_epoch(self._shard)
+        if current is not None and current > epoch:
+            return
+        log_message(
+            message_type="program:stale_epoch",
+            shard=self._shard,
+            epoch=epoch,
+            highest_epoch=highest_epoch,
+        )
+        self._on_stale(self._shard, epoch)
+        self.close()
+
+    async def _send(self, epoch: int, records: list[bytes]) -> ReplicateReply | None:
+        request = ReplicateRequest(
+            shard=self._shard, epoch=epoch, owner=self._address, records=records
+        )
+        try:
+            return await self._call(
+                self._standby, REPLICATE, request, const.REPLICATE_TIMEOUT_S
+            )
+        except UnavailableError:
+            return None
+
+    def _note_pair(self) -> tuple[str, str] | None:
+        record = self._shard_table.record(self._shard)
+        if record is None:
+            return None
+        if record.standby != self._standby:
+            self._standby = record.standby
+            self._copied = set()
+            self._reset_needed = True
+            self._told_epoch = 0
+        return record.owner, record.standby
+
+    def _encode_batch(self) -> tuple[int, list[bytes], set[str]]:
+        records: list[bytes] = []
+        included: set[str] = set()
+        if self._reset_needed:
+            records.append(self._encode_body("", 0, CopyReset()))
+        size_bytes = 0
+        count = 0
+        for pending in self._pending:
+            if count and (
+                size_bytes > const.MAX_BATCH_BYTES or count >= const.MAX_BATCH_RECORDS
+            ):
+                break
+            encoded = self._encode_pending(pending, included)
+            size_bytes += sum(len(data) for data in encoded)
+            records.extend(encoded)
+            count += 1
+        return count, records, included
+
+    def _encode_pending(self, pending: _Pending, included: set[str]) -> list[bytes]:
+        state = pending.state
+        encoded: list[bytes] = []
+        if state is None:
+            return encoded
+        program_id = state.program_id
+        opens = pending.record is not None and isinstance(pending.record.body, Opened)
+        if program_id not in self._copied and program_id not in included:
+            included.add(program_id)
+            if not opens:
+                body = Snapshot(state=state)
+                encoded.append(self._encode_body(program_id, state.sequence, body))
+        if pending.record is not None:
+            encoded.append(encode_record(pending.record))
+        return encoded
+
+    def _encode_body(
+        self, program_id: str, sequence: int, body: Snapshot | CopyReset
+    ) -> bytes:
+        record = Record(
+            program_id=program_id,
+            sequence=sequence,
+            time_s=self._clock.time_s(),
+            body=body,
+        )
+        return encode_record(record)
+
+    def _acknowledge(self, count: int) -> None:
+        for _ in range(count):
+            pending = self._pending.popleft()
+            if pending.state is not None and pending.record is not None:
+                apply_record(pending.state, pending.record)
+            if not pending.done.done():
+                pending.done.set_result(None)
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -119,6 +119,8 @@
     deadline_time_s: float | None = None
     interactive: bool = False
     traceparent: str = ""
+    # Sent with a repeat after the sidecar was lost: output relayed to the caller.
+    emitted_text: str | None = None
 
 
 class Admitted(Message, tag="admitted"):
--- /dev/null
+++ b/tests/fakes/shards.py
@@ -0,0 +1,36 @@
+"""Shard table whose records a test sets by hand."""
+
+from __future__ import annotations
+
+from lentilroad.wire.messages import ShardRecord
+
+
+class FakeShardTable:
+    """View of one entry; `learn` delivers a newer record."""
+
+    def __init__(self, address):
+        self.address = address
+        self.on_gained = lambda shard, record: None
+        self.on_lost = lambda shard: None
+        self._records = {}
+
+    def record(self, shard):
+        """Return the newest record."""
+        return self._records.get(shard)
+
+    def my_epoch(self, shard):
+        """Return the epoch if this entry is the owner."""
+        record = self._records.get(shard)
+        if record is None or record.owner != self.address:
+            return None
+        return record.epoch
+
+    def learn(self, shard, record: ShardRecord):
+        """Take over a record and call back."""
+        before = self.my_epoch(shard)
+        self._records[shard] = record
+        after = self.my_epoch(shard)
+        if before is None and after is not None:
+            self.on_gained(shard, record)
+        if before is not None and after is None:
+            self.on_lost(shard)
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault schedules and their checkers."""
