--- a/lentilroad/standins/engine.py
+++ b/lentilroad/standins/engine.py
@@ -61,6 +61,7 @@
             web.get("/cache/export", _export),
             web.post("/cache/import", _import),
             web.post("/commands", _command),
+            web.get("/admin/state", _read_state),
             web.get("/admin/faults", _read_faults),
             web.post("/admin/faults", _set_faults),
         ]
@@ -229,6 +230,19 @@
     return _json({name: getattr(engine, name) for name in (*_FAULTS, "dead")})
 
 
+async def _read_state(request: web.Request) -> web.Response:
+    engine = request.app[ENGINE_KEY]
+    return _json(
+        {
+            "programs": engine.cache.program_tokens,
+            "executions": engine.executions,
+            "cancelled": engine.cancelled,
+            "prefilled_tokens": engine.prefilled_tokens,
+            "generated_tokens": engine.generated_tokens,
+        }
+    )
+
+
 async def _set_faults(request: web.Request) -> web.Response:
     engine = request.app[ENGINE_KEY]
     wanted = msgspec.json.decode(await request.read(), type=dict[str, Any])
