--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -330,6 +330,8 @@
     state: Literal["serving", "draining", "dead"] = "serving"
     # Increases with every change of the record within one incarnation.
     sequence: int = 0
+    # Raised by an entry that still hears a sidecar which another one declared dead.
+    observation: int = 0
 
 
 class SidecarHeartbeat(Message):
@@ -358,6 +360,9 @@
     incarnation: int
     state: Literal["alive", "suspect", "draining", "dead"] = "alive"
     config_version: int = 0
+    # Start of the process in Unix milliseconds; a restart has a larger one, while
+    # the incarnation also rises when the entry refutes a suspicion.
+    started_ms: int = 0
 
 
 class PingRequest(Message):
@@ -370,6 +375,10 @@
     sidecars: list[SidecarRecord] = []
     # Shard map revision of each region, so that the receiver pulls newer ones.
     shard_map_revisions: dict[str, int] = {}
+    # Shard records that changed lately, also while the key-value service is down.
+    shards: dict[str, ShardRecord] = {}
+    # A sender that has just started asks for all peers and sidecars.
+    wants_all: bool = False
 
 
 class PingReply(Message):
@@ -379,6 +388,7 @@
     peers: list[PeerRecord] = []
     sidecars: list[SidecarRecord] = []
     shard_map_revisions: dict[str, int] = {}
+    shards: dict[str, ShardRecord] = {}
 
 
 class ShardRecord(Message):
@@ -388,6 +398,11 @@
     owner: str
     standby: str = ""
     arbiter: str = ""
+    # Process starts of the named entries: a restarted entry has lost its copies and
+    # its grants, so it no longer holds the role. 0 accepts any.
+    owner_started_ms: int = 0
+    standby_started_ms: int = 0
+    arbiter_started_ms: int = 0
 
 
 class ShardMap(Message):
@@ -414,7 +429,11 @@
     """Ask the arbiter for the next epoch of a shard."""
 
     shard: str
+    # The proposed record.
     record: ShardRecord
+    # The record in force that it follows, and the entry that proposes.
+    base: ShardRecord | None = None
+    proposer: str = ""
 
 
 class GrantReply(Message):
