--- /dev/null
+++ b/lentilroad/process/entry.py
@@ -0,0 +1,422 @@
+"""Run an entry: the front that callers reach and the owner of programs."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+import eliot
+from aiohttp import web
+
+from lentilroad.adapters.etcd import EtcdKeyValueStore
+from lentilroad.clock import Clock, SystemClock
+from lentilroad.connection.peers import PeerConnections
+from lentilroad.connection.server import PeerServer, start_server
+from lentilroad.errors import UnavailableError
+from lentilroad.membership.const import SHARD_COUNT
+from lentilroad.membership.members import Members
+from lentilroad.membership.program_id import new_program_id, shard_name, shard_of
+from lentilroad.membership.shards import ShardTable
+from lentilroad.membership.sidecars import SidecarDirectory
+from lentilroad.process.caller_limits import CallerAdmission
+from lentilroad.process.metrics import Metrics
+from lentilroad.process.operator_http import add_operator_routes
+from lentilroad.process.settings import Settings
+from lentilroad.process.tls import TlsFiles, require_tls_or_loopback
+from lentilroad.process.tracing import Tracing
+from lentilroad.program.owner import ProgramOwner
+from lentilroad.program.preparation import CallPolicy
+from lentilroad.program.standby import ProgramStandby
+from lentilroad.request.context import FrontContext
+from lentilroad.request.http import build_application
+from lentilroad.request.owner_calls import OwnerCalls
+from lentilroad.request.retry import RetryBudget
+from lentilroad.request.router import Router
+from lentilroad.request.upstream_choice import UpstreamChoice
+from lentilroad.version.distribution import Distribution
+from lentilroad.version.store import ConfigurationStore
+from lentilroad.version.watch import is_watcher
+from lentilroad.wire import messages as m
+from lentilroad.wire import services
+
+SHUTDOWN_TIMEOUT_S = 60.0
+# The balancer and the other entries notice a draining entry within this time.
+ANNOUNCE_DRAIN_S = 1.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split "host:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Entry:
+    """One running entry; made by `start_entry`."""
+
+    def __init__(self, *, settings: Settings, clock: Clock, random: Random) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.incarnation = int(clock.time_s() * 1000)
+        self.draining = False
+        self.drain_task: asyncio.Future[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: PeerServer | None = None
+        self._http: web.AppRunner | None = None
+        self.tls = _tls_files(settings)
+        self.metrics = Metrics(address=settings.observability.statsd_address)
+        self.tracing = Tracing(
+            role="entry", otlp_endpoint=settings.observability.trace_exporter_url
+        )
+        self.connections = PeerConnections(
+            clock=clock, ssl_context=self.tls.client if self.tls else None
+        )
+        self.key_value = EtcdKeyValueStore(
+            clock=clock,
+            endpoints=settings.key_value.endpoints,
+            timeout_s=settings.key_value.timeout_s,
+        )
+        self._build_membership()
+        self._build_configuration()
+        self._build_owner()
+
+    def _build_membership(self) -> None:
+        settings = self.settings
+        self.members = Members(
+            record=m.PeerRecord(
+                address=settings.address,
+                region=settings.region,
+                availability_zone=settings.availability_zone,
+                incarnation=self.incarnation,
+            ),
+            seeds=settings.seed_entries,
+            call=self.connections.call,
+            clock=self.clock,
+            random=self.random,
+        )
+        self.directory = SidecarDirectory(
+            clock=self.clock,
+            region=settings.region,
+            incarnation=self.incarnation,
+            alive_entries=self.members.alive_entries,
+            config_version=lambda: self.distribution.version,
+        )
+        self.shard_table = ShardTable(
+            address=settings.address,
+            region=settings.region,
+            started_ms=self.incarnation,
+            members=self.members,
+            key_value=self.key_value,
+            call=self.connections.call,
+            clock=self.clock,
+            random=self.random,
+            on_gained=lambda shard, record: self.owner.on_gained(shard, record),
+            on_lost=lambda shard: self.owner.on_lost(shard),
+        )
+
+    def _build_configuration(self) -> None:
+        settings = self.settings
+        self.store = ConfigurationStore(key_value=self.key_value, clock=self.clock)
+        self.distribution = Distribution(
+            call=self.connections.call,
+            clock=self.clock,
+            random=self.random,
+            address=settings.address,
+            peers=self._region_peers,
+            far_peers=self._far_peers,
+            data_folder=settings.data_folder,
+            key_value=self.key_value,
+            is_watcher=lambda: is_watcher(
+                settings.address, self.members.alive_entries(settings.region)
+            ),
+        )
+        self.admission = CallerAdmission(
+            clock=self.clock,
+            live_entries=lambda: len(self.members.peers()),
+        )
+        self.distribution.on_change(self.admission.on_configuration)
+
+    def _build_owner(self) -> None:
+        settings = self.settings
+        retry_budget = RetryBudget(clock=self.clock)
+        choice = UpstreamChoice(
+            router=Router(
+                clock=self.clock,
+                random=self.random,
+                region=settings.region,
+                availability_zone=settings.availability_zone,
+            ),
+            directory=self.directory,
+            regions=self._regions,
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+            clock=self.clock,
+        )
+        self.standby = ProgramStandby(
+            address=settings.address, shard_table=self.shard_table, clock=self.clock
+        )
+        self.owner = ProgramOwner(
+            address=settings.address,
+            shard_table=self.shard_table,
+            standby=self.standby,
+            call=self.connections.call,
+            stream=self.connections.stream,
+            choose_upstream=choice.choose,
+            shard_of=shard_of,
+            clock=self.clock,
+            random=self.random,
+            policy_of=self._policy_of,
+            may_retry=retry_budget.try_spend,
+            note_success=retry_budget.succeeded,
+            note_in_flight=choice.note_in_flight,
+        )
+        self.owner_calls = OwnerCalls(
+            address=settings.address,
+            local=self.owner,
+            owner_of=self.shard_table.owner_of,
+            call=self.connections.call,
+            stream=self.connections.stream,
+            clock=self.clock,
+        )
+
+    # Views of the configuration and the membership
+
+    def _region_peers(self) -> list[str]:
+        entries = self.members.alive_entries(self.settings.region)
+        known = entries if len(entries) > 1 else self.settings.seed_entries
+        return [address for address in known if address != self.settings.address]
+
+    def _far_peers(self) -> list[str]:
+        return [
+            peer.address
+            for peer in self.members.peers()
+            if peer.region != self.settings.region and peer.state == "alive"
+        ]
+
+    def _regions(self) -> list[str]:
+        current = self.distribution.current
+        if current is None:
+            return [self.settings.region]
+        return list(current.configuration.regions)
+
+    def _find_caller(self, key_sha256: str) -> str | None:
+        current = self.distribution.current
+        if current is None:
+            raise UnavailableError(
+                "no configuration is in force yet; try again", retry_after_ms=500
+            )
+        return current.configuration.caller_of_key(key_sha256)
+
+    def _list_models(self) -> list[str]:
+        current = self.distribution.current
+        if current is None:
+            return []
+        return [*current.configuration.models, *current.configuration.adapters]
+
+    def _has_operation(self, service: str, operation: str) -> bool:
+        current = self.distribution.current
+        if current is None:
+            return False
+        return current.configuration.operation(service, operation) is not None
+
+    def _policy_of(self, request: m.RunTurnRequest) -> CallPolicy:
+        current = self.distribution.current
+        if current is None:
+            return CallPolicy(idempotent=request.kind == "chat")
+        if request.kind == "chat":
+            model = current.configuration.models.get(request.model)
+            if model is None:
+                return CallPolicy(idempotent=True)
+            return CallPolicy(
+                idempotent=True,
+                prompt_token_micro=model.prompt_price_micro_per_1k_tokens / 1000,
+                completion_token_micro=model.completion_price_micro_per_1k_tokens
+                / 1000,
+            )
+        operation = current.configuration.operation(request.service, request.operation)
+        if operation is None:
+            return CallPolicy()
+        return CallPolicy(
+            idempotent=operation.repeatable, price_micro=operation.price_micro
+        )
+
+    def _new_program_id(self) -> str:
+        # An own shard saves the hop to another owner.
+        shards = self.shard_table.shards_owned()
+        if not shards:
+            shards = self._shards_served()
+        if not shards:
+            raise UnavailableError(
+                "the entry has no shard map yet; try again", retry_after_ms=500
+            )
+        shard = self.random.choice(shards)
+        return new_program_id(self.settings.region, shard, self.random)
+
+    def _shards_served(self) -> list[str]:
+        region = self.settings.region
+        shards = [shard_name(region, index) for index in range(SHARD_COUNT)]
+        try:
+            self.shard_table.record(shards[0])
+        except UnavailableError:
+            return []
+        return shards
+
+    # Start and stop
+
+    async def start(self) -> None:
+        """Listen to peers and callers and start the regular work."""
+        host, port = split_address(self.settings.address)
+        require_tls_or_loopback(host=host, tls_files=self.tls)
+        self._server = await start_server(
+            self._handlers(), host, port, self.tls.server if self.tls else None
+        )
+        work = [
+            self.members.run(),
+            self.directory.run(),
+            self.shard_table.run(),
+            self.distribution.run(),
+            self.owner.run(),
+        ]
+        if self.tls is not None:
+            work.append(self.tls.watch(clock=self.clock))
+        self._tasks = [asyncio.ensure_future(one) for one in work]
+        for task in self._tasks:
+            task.add_done_callback(_report_failure)
+        await self._start_http()
+        eliot.log_message(message_type="entry:started", address=self.settings.address)
+
+    def _handlers(self) -> dict[services.Method, Callable[[Any], Any]]:
+        return {
+            services.OPEN_PROGRAM: self.owner.open_program,
+            services.END_PROGRAM: self.owner.end_program,
+            services.READ_PROGRAM: self.owner.read_program,
+            services.RUN_TURN: self.owner.run_turn,
+            services.REPLICATE: self.standby.replicate,
+            services.GRANT: self.shard_table.grant,
+            services.PAIR_HEARTBEAT: self.shard_table.pair_heartbeat,
+            services.PING: self.members.ping,
+            services.PULL_SHARD_MAP: self.shard_table.pull_shard_map,
+            services.SIDECAR_HEARTBEAT: self.directory.heartbeat,
+            **self.distribution.handlers(),
+        }
+
+    async def _start_http(self) -> None:
+        context = FrontContext(
+            clock=self.clock,
+            metrics=self.metrics,
+            tracing=self.tracing,
+            find_caller=self._find_caller,
+            list_models=self._list_models,
+            has_operation=self._has_operation,
+            admit_request=self.admission.admit_request,
+            new_program_id=self._new_program_id,
+            new_key=lambda: secrets.token_hex(16),
+            open_program=self.owner_calls.open_program,
+            end_program=self.owner_calls.end_program,
+            read_program=self.owner_calls.read_program,
+            run_turn=self.owner_calls.run_turn,
+            stream=self.connections.stream,
+        )
+        application = build_application(context=context)
+        add_operator_routes(application, entry=self)
+        self._http = web.AppRunner(
+            application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+        await self._http.setup()
+        host, port = split_address(self.settings.http_address or "127.0.0.1:0")
+        await web.TCPSite(self._http, host, port, backlog=1024).start()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the entry can serve callers."""
+        return (
+            not self.draining
+            and self.distribution.current is not None
+            and bool(self._shards_served())
+        )
+
+    async def drain(self) -> None:
+        """Take no new work, finish what runs, and hand the shards over."""
+        if self.draining:
+            return
+        self.draining = True
+        eliot.log_message(message_type="entry:draining", address=self.settings.address)
+        await self.clock.sleep(ANNOUNCE_DRAIN_S)
+        await self.owner.drain()
+
+    async def close(self) -> None:
+        """Stop, after the open requests of callers have ended."""
+        if self._http is not None:
+            await self._http.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with suppress(asyncio.CancelledError, Exception):
+                await task
+        await self.owner.close()
+        if self._server is not None:
+            await self._server.close()
+        await self.connections.close()
+        await self.key_value.close()
+        self.tracing.shutdown()
+        self.metrics.close()
+        eliot.log_message(message_type="entry:stopped", address=self.settings.address)
+
+
+def _tls_files(settings: Settings) -> TlsFiles | None:
+    if settings.tls is None:
+        return None
+    return TlsFiles(
+        certificate_file=settings.tls.certificate_file,
+        key_file=settings.tls.key_file,
+        authority_file=settings.tls.ca_file,
+    )
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    eliot.log_message(message_type="entry:task_failed", reason=repr(task.exception()))
+
+
+async def start_entry(
+    *, settings: Settings, clock: Clock | None = None, random: Random | None = None
+) -> Entry:
+    """Start an entry in the running event loop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings with role ``entry``.
+    clock : Clock, optional
+        Source of time.
+    random : Random, optional
+        Source of jitter and choices.
+
+    Returns
+    -------
+    Entry
+        The running entry.
+    """
+    entry = Entry(
+        settings=settings, clock=clock or SystemClock(), random=random or Random()
+    )
+    await entry.start()
+    return entry
+
+
+async def run_entry(*, settings: Settings) -> None:
+    """Run an entry until SIGTERM or SIGINT, then drain it and stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    entry = await start_entry(settings=settings)
+    await stop.wait()
+    await entry.drain()
+    await entry.close()
--- /dev/null
+++ b/lentilroad/process/operator_http.py
@@ -0,0 +1,82 @@
+"""Health and operator routes of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from lentilroad.errors import UnauthenticatedError
+from lentilroad.request.responses import json_response
+
+if TYPE_CHECKING:
+    from lentilroad.process.entry import Entry
+
+BEARER = "Bearer "
+
+
+def check_operator_key(request: web.Request, key_sha256: list[str]) -> None:
+    """Accept a request with an operator's key.
+
+    Raises
+    ------
+    UnauthenticatedError
+        The key is missing or unknown.
+    """
+    header = request.headers.get("Authorization", "")
+    found = hashlib.sha256(header.removeprefix(BEARER).encode()).hexdigest()
+    for wanted in key_sha256:
+        if header.startswith(BEARER) and hmac.compare_digest(found, wanted):
+            return
+    raise UnauthenticatedError("send 'Authorization: Bearer <operator key>'")
+
+
+def add_operator_routes(application: web.Application, *, entry: Entry) -> None:
+    """Add health and operator routes to an entry's application."""
+    key_sha256 = entry.settings.operator_key_sha256
+
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(request: web.Request) -> web.Response:
+        if not entry.ready:
+            return web.Response(status=503, text="not ready\n")
+        return web.Response(text="ok\n")
+
+    async def status(request: web.Request) -> web.Response:
+        check_operator_key(request, key_sha256)
+        return json_response(entry_status(entry))
+
+    async def drain(request: web.Request) -> web.Response:
+        check_operator_key(request, key_sha256)
+        entry.drain_task = asyncio.ensure_future(entry.drain())
+        return json_response({"draining": entry.settings.address}, status=202)
+
+    application.add_routes(
+        [
+            web.get("/healthz", healthz),
+            web.get("/readyz", readyz),
+            web.get("/operator/v1/status", status),
+            web.post("/operator/v1/drain", drain),
+        ]
+    )
+
+
+def entry_status(entry: Entry) -> dict[str, object]:
+    """Return what ``lentilroad status`` shows of one entry."""
+    return {
+        "address": entry.settings.address,
+        "region": entry.settings.region,
+        "availability_zone": entry.settings.availability_zone,
+        "draining": entry.draining,
+        "ready": entry.ready,
+        "shards_owned": len(entry.shard_table.shards_owned()),
+        "configuration": entry.distribution.status(),
+        "entries": entry.members.peers(),
+        "sidecars": entry.directory.records(),
+        "sidecar_versions": entry.directory.config_versions(),
+        "key_value_calls": entry.key_value.counts,
+    }
