Add the command line

Cause: operators and newcomers had no way to start and ask the processes. Change: docopt commands for entry, sidecar, dev, stand-ins, status, drain, load.

--- /dev/null
+++ b/lentilroad/cli/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the command line."""
+
+from __future__ import annotations
+
+from lentilroad.cli.const import EXIT_NO
+
+
+class CommandError(Exception):
+    """A command cannot go on; the message names the remedy.
+
+    Parameters
+    ----------
+    message : str
+        Text for the terminal.
+    exit_code : int
+        Exit code of the process.
+    """
+
+    def __init__(self, message: str, *, exit_code: int = EXIT_NO) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
--- a/lentilroad/cli/main.py
+++ b/lentilroad/cli/main.py
@@ -1,27 +1,192 @@
 """lentilroad, a scheduler for agent programs.
 
 Usage:
+  lentilroad entry --settings FILE
+  lentilroad sidecar --settings FILE
+  lentilroad dev [--port PORT]
+  lentilroad standin KIND --listen ADDRESS [--model NAME] [--step-ms MS]
+  lentilroad check FILE [--json]
+  lentilroad diff FILE [--url URL] [--key-file PATH] [--json]
+  lentilroad apply FILE [--url URL] [--key-file PATH] [--author NAME]
+                   [--based-on VERSION] [--no-wait] [--json]
+  lentilroad history [--url URL] [--key-file PATH] [--json]
+  lentilroad rollback VERSION [--url URL] [--key-file PATH] [--author NAME]
+                      [--no-wait] [--json]
+  lentilroad status [--url URL] [--key-file PATH] [--json]
+  lentilroad programs [--url URL] [--key-file PATH] [--json]
+  lentilroad drain [--url URL] [--key-file PATH] [--json]
+  lentilroad load --url URL [--key-file PATH] [--deployment NAME]
+                  [--programs COUNT] [--concurrency COUNT] [--seed SEED]
+                  [--plot FILE] [--json]
   lentilroad version [--json]
   lentilroad (-h | --help)
 
+Commands:
+  entry     Run an entry: callers reach it, and it owns programs.
+  sidecar   Run the process beside one upstream.
+  dev       Run all roles with stand-ins in one process.
+  standin   Run a stand-in: engine, service, key-value or weight-store.
+  check     Check settings or the operators' configuration, and print every error.
+  diff      Show what a configuration would change.
+  apply     Put a configuration in force and wait until every process has it.
+  history   List the versions of the configuration.
+  rollback  Put the content of an earlier version in force as a new version.
+  status    Show entries, sidecars and the configuration in force.
+  programs  List the programs that an entry owns.
+  drain     Stop an entry's new work and hand its programs over.
+  load      Drive programs at an address and print latency percentiles.
+  version   Print the version.
+
 Options:
-  --json     Print JSON.
-  -h --help  Show this text.
+  --settings FILE      Settings of the process (YAML).
+  --port PORT          Port of the callers' interface; 0 takes a free one
+                       [default: 8080].
+  --listen ADDRESS     Address to listen on, "ip:port".
+  --model NAME         Model of a stand-in engine; any when omitted.
+  --step-ms MS         Time of one step of a stand-in engine [default: 10].
+  --url URL            An entry's HTTP address [default: http://127.0.0.1:8080].
+  --key-file PATH      File with the operator's or caller's key. The variable
+                       LENTILROAD_KEY is used when omitted.
+  --author NAME        Name that the history shows; the user's name when omitted.
+  --based-on VERSION   Version that the file was made from; the newest when omitted.
+  --no-wait            Do not wait until the version is in force everywhere.
+  --deployment NAME    Programs to drive: ndende or hill_country [default: ndende].
+  --programs COUNT     Number of programs [default: 50].
+  --concurrency COUNT  Programs under way at the same time [default: 10].
+  --seed SEED          Seed of the programs [default: 1].
+  --plot FILE          Draw the latencies to a PNG or SVG file.
+  --json               Print JSON.
+  -h --help            Show this text.
+
+Exit codes:
+  0  done
+  1  the command ran and the answer is no: errors found, programs failed
+  2  wrong usage
+  3  the entry cannot be reached or refused the key
+  4  the configuration was changed by someone else meanwhile
+
+Examples
+--------
+  lentilroad dev --port 8080
+  lentilroad check site.yaml
+  LENTILROAD_KEY=example-operator-key lentilroad status --url http://127.0.0.1:8080
+  LENTILROAD_KEY=example-ndende-key lentilroad load --url http://127.0.0.1:8080
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sys
+from collections.abc import Callable
+from typing import Any
 
+import uvloop
 from docopt import docopt
 
 from lentilroad import __version__
+from lentilroad.cli import const
+from lentilroad.cli.errors import CommandError
+from lentilroad.errors import LentilroadError
 
+Command = Callable[[dict[str, Any]], int]
 
-def main(argv: list[str] | None = None) -> int:
-    """Run one command and return its exit code."""
-    arguments = docopt(__doc__, argv=argv)
+
+def _entry(arguments: dict[str, Any]) -> int:
+    from lentilroad.process.entry import run_entry
+
+    uvloop.run(run_entry(settings=_process_settings(arguments, "entry")))
+    return const.EXIT_DONE
+
+
+def _sidecar(arguments: dict[str, Any]) -> int:
+    from lentilroad.process.sidecar import run_sidecar_from_settings
+
+    uvloop.run(run_sidecar_from_settings(_process_settings(arguments, "sidecar")))
+    return const.EXIT_DONE
+
+
+def _process_settings(arguments: dict[str, Any], role: str) -> Any:
+    from lentilroad.process.logging import configure_logging
+    from lentilroad.process.settings import load_settings
+
+    settings = load_settings(arguments["--settings"])
+    if settings.role != role:
+        raise CommandError(
+            f"the settings are for role {settings.role!r}; "
+            f"start 'lentilroad {settings.role}'",
+            exit_code=const.EXIT_USAGE,
+        )
+    configure_logging(
+        log_file=settings.observability.log_file,
+        role=settings.role,
+        address=settings.address,
+    )
+    return settings
+
+
+def _dev(arguments: dict[str, Any]) -> int:
+    from lentilroad.process.dev import run_dev
+
+    uvloop.run(run_dev(port=int(arguments["--port"])))
+    return const.EXIT_DONE
+
+
+def _standin(arguments: dict[str, Any]) -> int:
+    from lentilroad.cli.standin import run_standin
+
+    return run_standin(arguments)
+
+
+def _load(arguments: dict[str, Any]) -> int:
+    from lentilroad.cli.load import run_load
+
+    return asyncio.run(run_load(arguments))
+
+
+def _operator(name: str) -> Command:
+    def run(arguments: dict[str, Any]) -> int:
+        from lentilroad.cli import operator
+
+        return asyncio.run(getattr(operator, f"run_{name}")(arguments))
+
+    return run
+
+
+def _version(arguments: dict[str, Any]) -> int:
     text = json.dumps({"version": __version__}) if arguments["--json"] else __version__
     sys.stdout.write(text + "\n")
-    return 0
+    return const.EXIT_DONE
+
+
+COMMANDS: dict[str, Command] = {
+    "entry": _entry,
+    "sidecar": _sidecar,
+    "dev": _dev,
+    "standin": _standin,
+    "status": _operator("status"),
+    "programs": _operator("programs"),
+    "drain": _operator("drain"),
+    "load": _load,
+    "version": _version,
+}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    try:
+        arguments = docopt(__doc__, argv=argv)
+    except SystemExit as stop:
+        if stop.code in (None, 0):
+            return const.EXIT_DONE
+        sys.stderr.write(f"{stop.code}\n")
+        return const.EXIT_USAGE
+    name = next(name for name in COMMANDS if arguments.get(name))
+    try:
+        return COMMANDS[name](arguments)
+    except CommandError as error:
+        sys.stderr.write(f"{error}\n")
+        return error.exit_code
+    except LentilroadError as error:
+        sys.stderr.write(f"{error.message}\n")
+        return const.EXIT_NO
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -26,8 +26,8 @@
 from lentilroad.process.caller_limits import CallerAdmission
 from lentilroad.process.metrics import Metrics
 from lentilroad.process.operator_http import add_operator_routes
-from lentilroad.process.settings import Settings
-from lentilroad.process.tls import TlsFiles, require_tls_or_loopback
+from lentilroad.process.settings import Settings, split_address
+from lentilroad.process.tls import require_tls_or_loopback, tls_files
 from lentilroad.process.tracing import Tracing
 from lentilroad.program.owner import ProgramOwner
 from lentilroad.program.preparation import CallPolicy
@@ -49,12 +49,6 @@
 ANNOUNCE_DRAIN_S = 1.0
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split "host:port"."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class Entry:
     """One running entry; made by `start_entry`."""
 
@@ -68,7 +62,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._server: PeerServer | None = None
         self._http: web.AppRunner | None = None
-        self.tls = _tls_files(settings)
+        self.tls = tls_files(settings)
         self.metrics = Metrics(address=settings.observability.statsd_address)
         self.tracing = Tracing(
             role="entry", otlp_endpoint=settings.observability.trace_exporter_url
@@ -368,16 +362,6 @@
         eliot.log_message(message_type="entry:stopped", address=self.settings.address)
 
 
-def _tls_files(settings: Settings) -> TlsFiles | None:
-    if settings.tls is None:
-        return None
-    return TlsFiles(
-        certificate_file=settings.tls.certificate_file,
-        key_file=settings.tls.key_file,
-        authority_file=settings.tls.ca_file,
-    )
-
-
 def _report_failure(task: asyncio.Task[None]) -> None:
     if task.cancelled() or task.exception() is None:
         return
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -19,6 +19,8 @@
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import PeerServer, start_server
 from lentilroad.process.heartbeats import EntryHeartbeats
+from lentilroad.process.settings import Settings, split_address
+from lentilroad.process.tls import require_tls_or_loopback, tls_files
 from lentilroad.request.concurrency import ConcurrencyLimit
 from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
@@ -245,3 +247,28 @@
     await http.setup()
     await web.TCPSite(http, host, port).start()
     return http
+
+
+async def run_sidecar_from_settings(settings: Settings) -> None:
+    """Run a sidecar with the settings of its file until SIGTERM or SIGINT."""
+    assert settings.upstream is not None
+    tls = tls_files(settings)
+    host, port = split_address(settings.address)
+    require_tls_or_loopback(host=host, tls_files=tls)
+    http_port = 0
+    if settings.http_address is not None:
+        http_port = split_address(settings.http_address)[1]
+    await run_sidecar(
+        upstream_id=settings.upstream.upstream_id,
+        kind=settings.upstream.kind,
+        upstream_url=settings.upstream.url,
+        names=settings.upstream.names,
+        region=settings.region,
+        availability_zone=settings.availability_zone,
+        entries=settings.seed_entries,
+        host=host,
+        port=port,
+        http_port=http_port,
+        server_ssl_context=tls.server if tls else None,
+        client_ssl_context=tls.client if tls else None,
+    )
--- a/lentilroad/process/tls.py
+++ b/lentilroad/process/tls.py
@@ -10,6 +10,7 @@
 
 from lentilroad.clock import Clock
 from lentilroad.errors import ConfigurationError
+from lentilroad.process.settings import Settings
 
 RELOAD_INTERVAL_S = 10.0
 
@@ -81,6 +82,17 @@
                 eliot.log_message(message_type="tls:reload_failed", reason=str(error))
 
 
+def tls_files(settings: Settings) -> TlsFiles | None:
+    """Return the certificate files that the settings name, if any."""
+    if settings.tls is None:
+        return None
+    return TlsFiles(
+        certificate_file=settings.tls.certificate_file,
+        key_file=settings.tls.key_file,
+        authority_file=settings.tls.ca_file,
+    )
+
+
 def require_tls_or_loopback(*, host: str, tls_files: TlsFiles | None) -> None:
     """Refuse to serve other instances without TLS.
 
@@ -93,5 +105,5 @@
         return
     raise ConfigurationError(
         f"TLS is off but {host} is not a loopback address; set tls.certificate_file, "
-        "tls.key_file and tls.authority_file"
+        "tls.key_file and tls.ca_file"
     )
