--- a/lentilroad/program/execution.py
+++ b/lentilroad/program/execution.py
@@ -271,8 +271,9 @@
         return error
     if work.attempt >= const.MAX_ATTEMPTS:
         return error
-    # A lost sidecar is no overload: its calls move without using the retry budget.
-    if outcome.kind != "lost" and not dependencies.may_retry():
+    # A lost sidecar or owner is no overload: its calls go on without using the retry
+    # budget.
+    if outcome.kind == "refused" and not dependencies.may_retry():
         return error
     try:
         await _prepare_move(dependencies, work, outcome)
@@ -296,7 +297,8 @@
 ) -> None:
     intent = work.intent
     assert intent is not None
-    work.excluded.add(intent.sidecar_address)
+    if outcome.kind != "not_reached":
+        work.excluded.add(intent.sidecar_address)
     clock = dependencies.clock
     if work.may_have_run:
         work.moved = True
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -38,10 +38,11 @@
     """How one attempt ended.
 
     ``finished`` carries the result, ``refused`` an error with its own outcome and
-    the output so far, ``lost`` means that the sidecar cannot tell.
+    the output so far, ``not_reached`` is proof that the call did not run, ``lost``
+    means that the sidecar cannot tell.
     """
 
-    kind: Literal["finished", "refused", "lost"]
+    kind: Literal["finished", "refused", "not_reached", "lost"]
     finished: Finished | None = None
     error: LentilroadError | None = None
     text: str = ""
@@ -194,7 +195,7 @@
     if reply.state == "done" and reply.finished is not None:
         return CallOutcome(kind="finished", finished=reply.finished)
     if reply.state == "never_seen":
-        return CallOutcome(kind="refused", error=_not_reached())
+        return CallOutcome(kind="not_reached", error=_not_reached())
     if reply.error is None:
         return _lost()
     error = from_wire_error(reply.error)
