--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -194,6 +194,9 @@
     payload: bytes = b""
     deadline_time_s: float | None = None
     traceparent: str = ""
+    # Incarnation of the sidecar that the owner chose; another one may have run the
+    # call before it restarted. 0 skips the check.
+    incarnation: int = 0
 
 
 class Queued(Message, tag="queued"):
@@ -281,6 +284,8 @@
     state: Literal["done", "running", "never_seen", "unknown"]
     finished: Finished | None = None
     error: WireError | None = None
+    # Output up to the failure, as in `Refused`.
+    text: str = ""
 
 
 class ForgetRequest(Message):
@@ -459,6 +464,8 @@
 
     version: int
     head: bytes = b""
+    # Address from which the parts of the version can be pulled.
+    sender: str = ""
 
 
 class ConfigDigestReply(Message):
@@ -478,3 +485,7 @@
     """Parts that the peer holds."""
 
     parts: dict[str, bytes]
+
+
+class HealthPing(Message):
+    """Heartbeat of a connection, in both directions."""
