Test the upstream package and fix what the tests found

Faults they found, now fixed: an empty `Ledger` passed to `CallRunner` was replaced, because it is falsy; a program that was forgotten while a call ran, and then reported by a late cache event, got a running count of -1 and was never released; a stream that kept breaking failed after three resumes although each of them had brought text; the stand-in engine continued a forced prefix that ends inside a word with the next word.

--- a/lentilroad/standins/engine_core.py
+++ b/lentilroad/standins/engine_core.py
@@ -174,6 +174,7 @@
     ) -> AsyncIterator[EngineOutput]:
         """Yield output; with `single` every output is one token."""
         budget = 0 if self.answers_lost else self.break_after_tokens
+        single = single or budget is not None
         sent = 0
         async for output in sequence.read(offset=offset, single=single):
             if budget is not None and sent + output.tokens > budget:
--- a/lentilroad/standins/engine_sequence.py
+++ b/lentilroad/standins/engine_sequence.py
@@ -10,7 +10,7 @@
 from lentilroad.standins.engine_text import (
     answer_length,
     answer_seed,
-    count_tokens,
+    continuation,
     word,
 )
 from lentilroad.standins.prefix_cache import PathStep, extend_key, prompt_path
@@ -31,14 +31,14 @@
         self.path = prompt_path(request.model, request.messages)
         self.prompt_tokens = sum(step.tokens for step in self.path)
         self.cached_tokens = 0
-        self.prefix_tokens = count_tokens(request.forced_prefix)
+        self._seed = answer_seed(request.model, request.messages)
+        self.prefix_tokens, self._rest = continuation(self._seed, request.forced_prefix)
         self.prefill_left = self.prompt_tokens + self.prefix_tokens
         self.held_tokens = 0
         self.ended = False
         self.ended_s = 0.0
         self.finish_reason: str | None = None
         self.error: LentilroadError | None = None
-        self._seed = answer_seed(request.model, request.messages)
         natural = answer_length(self._seed, request.messages)
         self._length = min(request.max_tokens, natural)
         self.natural_reason = "stop" if natural <= request.max_tokens else "length"
@@ -62,9 +62,11 @@
 
     def append_token(self) -> None:
         """Produce the next token, unless the prefix is the whole answer."""
-        if not self.complete:
-            self._pieces.append(word(self._seed, self.tokens))
-            self._changed.notify()
+        if self.complete:
+            return
+        self._pieces.append(self._rest or word(self._seed, self.tokens))
+        self._rest = ""
+        self._changed.notify()
 
     def answer_path(self) -> list[PathStep]:
         """Return the path of the prompt with the answer as its next message."""
--- a/lentilroad/standins/engine_text.py
+++ b/lentilroad/standins/engine_text.py
@@ -60,6 +60,23 @@
     return WORDS[digest % len(WORDS)] + " "
 
 
+def continuation(seed: int, prefix: str) -> tuple[int, str]:
+    """Return how many whole tokens a prefix has, and the rest of its last token.
+
+    A prefix that is not the start of the answer counts as tokens of its own.
+    """
+    text = ""
+    tokens = 0
+    while len(text) < len(prefix):
+        text += word(seed, tokens)
+        tokens += 1
+    if not text.startswith(prefix):
+        return count_tokens(prefix), ""
+    if len(text) == len(prefix):
+        return tokens, ""
+    return tokens - 1, text[len(prefix) :]
+
+
 def expected_text(
     model: str, messages: Sequence[ChatMessage], *, max_tokens: int = 256
 ) -> str:
--- a/lentilroad/upstream/calls.py
+++ b/lentilroad/upstream/calls.py
@@ -21,7 +21,7 @@
 )
 from lentilroad.upstream import const
 from lentilroad.upstream.engine_care import EngineCare
-from lentilroad.upstream.fencing import EpochFence
+from lentilroad.upstream.fencing import CommandGate, EpochFence
 from lentilroad.upstream.interfaces import RunnerQueue
 from lentilroad.upstream.ledger import CallRecord, Ledger
 from lentilroad.upstream.output import OutputBuffer
@@ -78,11 +78,12 @@
         self._queue = queue
         self._limit = limit
         self._engine = engine
-        self.ledger = ledger or Ledger()
+        self.ledger = Ledger() if ledger is None else ledger
         self._limits = limits or CallLimits()
         self._fence = EpochFence()
         self.care = EngineCare(engine=engine, clock=clock)
         self.programs = self.care.programs
+        self.commands = None if engine is None else CommandGate(engine=engine)
         self._execution = CallExecution(
             clock=clock,
             queue=queue,
--- a/lentilroad/upstream/execution.py
+++ b/lentilroad/upstream/execution.py
@@ -42,19 +42,25 @@
             traceparent=request.traceparent,
         )
     )
-    for _ in range(RESUME_ATTEMPTS):
+    attempts_left = RESUME_ATTEMPTS
+    broken: UnavailableError | None = None
+    while True:
+        tokens = record.tokens
         try:
             return await _relay(outputs, record, clock)
         except UnavailableError as error:
-            if error.outcome == "not_run" and not record.tokens:
+            if error.outcome == "not_run" and not record.tokens and broken is None:
                 raise
-            broken = error
+            attempts_left = (
+                RESUME_ATTEMPTS if record.tokens > tokens else attempts_left - 1
+            )
+            if not attempts_left:
+                raise broken or error from None
+            broken = broken or error
+        except NotFoundError as error:
+            raise broken or error from None
         await clock.sleep(RESUME_DELAY_S)
         outputs = engine.resume(request_id=request.call_id, offset=record.output.length)
-    try:
-        return await _relay(outputs, record, clock)
-    except NotFoundError:
-        raise broken from None
 
 
 async def _relay(
--- a/lentilroad/upstream/programs.py
+++ b/lentilroad/upstream/programs.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
-from lentilroad.adapters.engine import CacheEvents
+from lentilroad.adapters.engine import CacheEvent, CacheEvents
 from lentilroad.const import UNCONFIRMED_PROGRAM_RETENTION_S
 
 
@@ -14,7 +15,8 @@
 
     confirmed_s: float
     tokens: int = 0
-    running: int = 0
+    # Known from cache events only.
+    reported: bool = True
 
 
 class ProgramTable:
@@ -22,8 +24,9 @@
 
     A program is entered when a call of it starts or when the engine reports cache for
     it. Cache events arrive late and with gaps: they correct the token counts, and
-    they reveal programs of an earlier process of this sidecar, but they never remove
-    a program, because a later event may have been lost. Only a release does.
+    they reveal programs of an earlier process of this sidecar. They never remove a
+    program that had a call here, because a later event may have been lost; only a
+    release does.
     """
 
     def __init__(self) -> None:
@@ -32,21 +35,28 @@
         self.releasing: set[str] = set()
         self.last_event_sequence = 0
         self.lost_events = 0
+        self._running: Counter[str] = Counter()
+        # Programs forgotten while a call of them ran; released again at its end.
+        self._forgotten: set[str] = set()
 
     def started(self, program_id: str, *, now_s: float) -> None:
         """Record the start of a call."""
         program = self._enter(program_id, now_s)
         program.confirmed_s = now_s
-        program.running += 1
+        program.reported = False
+        self._running[program_id] += 1
         self.releasing.discard(program_id)
+        self._forgotten.discard(program_id)
 
     def ended(self, program_id: str, *, tokens: int, now_s: float) -> None:
         """Record the end of a call that left `tokens` tokens of context."""
-        program = self.programs.get(program_id)
-        if program is None:
-            self.releasing.add(program_id)
+        self._running[program_id] -= 1
+        if not self._running[program_id]:
+            del self._running[program_id]
+        if program_id in self._forgotten:
+            self.forget(program_id)
             return
-        program.running -= 1
+        program = self._enter(program_id, now_s)
         program.confirmed_s = now_s
         program.tokens = max(program.tokens, tokens)
 
@@ -63,11 +73,16 @@
             program = self.programs.get(program_id)
             if program is not None:
                 program.confirmed_s = now_s
+                program.reported = False
 
     def forget(self, program_id: str) -> None:
         """Mark a program for release, whether or not it is known here."""
         self.programs.pop(program_id, None)
         self.releasing.add(program_id)
+        if program_id in self._running:
+            self._forgotten.add(program_id)
+        else:
+            self._forgotten.discard(program_id)
 
     def forget_unconfirmed(self, *, now_s: float) -> list[str]:
         """Mark programs without calls that nobody has confirmed for 60 s."""
@@ -75,7 +90,7 @@
         expired = [
             program_id
             for program_id, program in self.programs.items()
-            if not program.running and program.confirmed_s <= oldest_s
+            if program_id not in self._running and program.confirmed_s <= oldest_s
         ]
         for program_id in expired:
             self.forget(program_id)
@@ -91,11 +106,20 @@
                 continue
             self.lost_events += event.sequence - self.last_event_sequence - 1
             self.last_event_sequence = event.sequence
-            known = self.programs.get(event.program_id)
-            if known is not None:
-                known.tokens = event.tokens
-            elif event.kind == "stored" and event.program_id not in self.releasing:
-                self._enter(event.program_id, now_s).tokens = event.tokens
+            self._apply(event, now_s)
+
+    def _apply(self, event: CacheEvent, now_s: float) -> None:
+        program_id = event.program_id
+        known = self.programs.get(program_id)
+        if known is not None:
+            known.tokens = event.tokens
+            if known.reported and not event.tokens:
+                del self.programs[program_id]
+            return
+        if program_id in self.releasing or program_id in self._forgotten:
+            return
+        if event.kind == "stored":
+            self._enter(program_id, now_s).tokens = event.tokens
 
     def cached_tokens(self) -> int:
         """Return the tokens that programs hold, counting shared ones repeatedly."""
--- /dev/null
+++ b/tests/adapters/test_weight_store.py
@@ -0,0 +1,67 @@
+"""Client of the weight store, against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lentilroad.adapters.weight_store import ByteRate, HttpWeightStore
+from lentilroad.clock import LoopClock, SystemClock
+from lentilroad.errors import NotFoundError
+from lentilroad.standins.virtual_loop import run_virtual
+from lentilroad.standins.weight_store import WeightStoreStandin, build_application
+from tests.fakes.http import serving
+
+CONTENT = bytes(range(256)) * 1000
+
+
+class _SteppingClock(SystemClock):
+    """Clock that advances by 30 ms whenever it is read."""
+
+    def __init__(self):
+        self._now_s = 0.0
+
+    def monotonic_s(self):
+        """Advance the clock."""
+        self._now_s += 0.03
+        return self._now_s
+
+
+async def test_download_waits_for_the_rate_and_continues_where_it_broke():
+    """Guards against weights that are incomplete after a limit or a broken link."""
+    clock = SystemClock()
+    standin = WeightStoreStandin(
+        clock=_SteppingClock(),
+        weights={("model", "v1"): CONTENT},
+        requests_per_s=20.0,
+    )
+    standin.break_after_bytes = [70_000]
+    async with serving(build_application(store=standin)) as base_url:
+        store = HttpWeightStore(base_url=base_url, clock=clock, bytes_per_s=1e9)
+        first = store.fetch(name="model", version="v1")
+        second = store.fetch(name="model", version="v1")
+        parts = await asyncio.gather(_join(first), _join(second))
+        assert parts == [CONTENT, CONTENT]
+        assert standin.limited >= 1
+        with pytest.raises(NotFoundError):
+            await _join(store.fetch(name="model", version="v2"))
+        await store.close()
+
+
+async def _join(parts):
+    return b"".join([part async for part in parts])
+
+
+def test_rate_spaces_reads():
+    """Guards against a client that takes the whole rate of the store."""
+
+    async def run():
+        clock = LoopClock(loop=asyncio.get_running_loop())
+        rate = ByteRate(clock=clock, bytes_per_s=100.0)
+        for _ in range(10):
+            await rate.take(50)
+        # The first second's worth is free.
+        assert clock.monotonic_s() == pytest.approx(4.0)
+
+    run_virtual(run())
