--- /dev/null
+++ b/lentilroad/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of lentilroad, in virtual time where possible."""
--- /dev/null
+++ b/lentilroad/bench/runs.py
@@ -0,0 +1,368 @@
+"""One measured run: deployment, policy, load, failure and seed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from functools import lru_cache, partial
+from random import Random
+
+from lentilroad.bench.baselines import BASELINES, BaselinePolicy
+from lentilroad.bench.engine import (
+    PREFILL_PER_TOKEN_S,
+    STEP_BASE_S,
+    capacity_turns_per_s,
+    step_at_load,
+)
+from lentilroad.bench.scheduler import Mechanisms, SchedulerPolicy
+from lentilroad.bench.simulation import LATE_TIME_PER_TOKEN_S, Simulation, Window
+from lentilroad.bench.workload import (
+    DEPLOYMENTS,
+    TURNS_MAX,
+    Deployment,
+    ProgramSpec,
+    WorkloadMeans,
+    make_program,
+    measure_means,
+    shortest_chain_s,
+)
+
+FAILURE_AT_S = 60.0
+FAILURE_LASTS_S = 60.0
+RECOVERY_STEP_S = 5.0
+POPULATION_START_S = 60.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RunSpec:
+    """What one run varies."""
+
+    deployment: str
+    policy: str
+    load: float
+    seed: int
+    failure: str = "none"
+    # Ablation: the mechanism of lentilroad that is off.
+    off: str = ""
+    memory: float = 1.0
+    closed_loop: bool = False
+    warm_up_s: float = 120.0
+    measured_s: float = 240.0
+    stop_s: float = 1000.0
+
+
+@dataclass(slots=True, kw_only=True)
+class RunResult:
+    """What one run measured; times in seconds."""
+
+    latencies_s: list[float]
+    bounds_idle_s: list[float]
+    bounds_at_load_s: list[float]
+    late_share: float
+    held_token_s: float
+    recomputed_tokens: int
+    cross_region_bytes: int
+    goodput: float
+    offered: int
+    refused: int
+    dropped: int
+    unfinished: int
+    worst_caller: float
+    recovery_s: float | None
+    events: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Sizing:
+    """Capacity of a deployment at which load 1 is defined."""
+
+    means: WorkloadMeans
+    turns_per_s: float
+    memory_tokens: int
+
+
+@lru_cache(maxsize=8)
+def sizing(name: str) -> Sizing:
+    """Return the capacity of one engine of a deployment.
+
+    Load 1 is the rate at which a step takes as long as the target between tokens
+    with all prefixes held. Memory is what the programs under way hold at load 1.
+    """
+    means = measure_means(DEPLOYMENTS[name])
+    rate = capacity_turns_per_s(
+        output_tokens=means.output_tokens,
+        new_tokens=means.new_tokens,
+        step_s=LATE_TIME_PER_TOKEN_S,
+    )
+    turn_s = means.output_tokens * LATE_TIME_PER_TOKEN_S + means.pause_s
+    return Sizing(
+        means=means,
+        turns_per_s=rate,
+        memory_tokens=int(rate * turn_s * means.history_tokens),
+    )
+
+
+def run(spec: RunSpec) -> RunResult:
+    """Run one simulation to its end."""
+    deployment = DEPLOYMENTS[spec.deployment]
+    size = sizing(spec.deployment)
+    engines = sum(count for _, count in deployment.engines)
+    window = Window(
+        start_s=spec.warm_up_s,
+        end_s=spec.warm_up_s + spec.measured_s,
+        stop_s=spec.stop_s,
+    )
+    simulation = Simulation(
+        deployment=deployment,
+        capacity_tokens=int(size.memory_tokens * spec.memory),
+        window=window,
+        seed=spec.seed,
+    )
+    simulation.policy = _policy(spec, simulation)
+    rate = spec.load * engines * size.turns_per_s / size.means.turns
+    if spec.closed_loop:
+        _start_clients(spec, simulation, deployment, size, rate)
+    else:
+        _start_arrivals(spec, simulation, deployment, size, rate)
+    FAILURES[spec.failure](simulation)
+    simulation.clock.run(spec.stop_s)
+    simulation.finish_window()
+    return _result(spec, simulation, size, engines)
+
+
+def _policy(spec: RunSpec, simulation: Simulation) -> BaselinePolicy | SchedulerPolicy:
+    if spec.policy != "lentilroad":
+        return BaselinePolicy(simulation=simulation, pick=BASELINES[spec.policy])
+    mechanisms = Mechanisms(**{spec.off: False}) if spec.off else Mechanisms()
+    return SchedulerPolicy(simulation=simulation, mechanisms=mechanisms)
+
+
+def _start_population(
+    spec: RunSpec,
+    simulation: Simulation,
+    deployment: Deployment,
+    size: Sizing,
+    rate: float,
+    random: Random,
+) -> int:
+    """Start the programs that a steady state has under way; return their number.
+
+    Long programs would otherwise be missing for many minutes. A program is drawn
+    with a probability proportional to its turns and starts at one of them.
+    """
+    count = int(rate * size.means.turns * _turn_s(min(spec.load, 0.95), size))
+    for number in range(1, count + 1):
+        program = make_program(deployment, random, number)
+        while random.random() * TURNS_MAX > len(program.chain.turns):
+            program = make_program(deployment, random, number)
+        position = random.randrange(len(program.chain.turns))
+        delay_s = random.uniform(0.0, POPULATION_START_S)
+        start = partial(simulation.arrive, program, position=position)
+        simulation.clock.after(delay_s, start)
+    return count
+
+
+def _turn_s(load: float, size: Sizing) -> float:
+    step_s = step_at_load(
+        turns_per_s=load * size.turns_per_s,
+        output_tokens=size.means.output_tokens,
+        new_tokens=size.means.new_tokens,
+    )
+    return size.means.output_tokens * step_s + size.means.pause_s
+
+
+def _start_arrivals(
+    spec: RunSpec,
+    simulation: Simulation,
+    deployment: Deployment,
+    size: Sizing,
+    rate: float,
+) -> None:
+    random = Random(1000 + spec.seed)
+    number = _start_population(spec, simulation, deployment, size, rate, random)
+
+    def arrive() -> None:
+        nonlocal number
+        number += 1
+        simulation.arrive(make_program(deployment, random, number))
+        simulation.clock.after(random.expovariate(rate), arrive)
+
+    simulation.clock.after(random.expovariate(rate), arrive)
+
+
+def _start_clients(
+    spec: RunSpec,
+    simulation: Simulation,
+    deployment: Deployment,
+    size: Sizing,
+    rate: float,
+) -> None:
+    random = Random(1000 + spec.seed)
+    turn_s = _turn_s(min(spec.load, 0.95), size)
+    think_s = 10.0
+    clients = int(rate * (size.means.turns * turn_s + think_s))
+    number = 0
+
+    def begin() -> None:
+        nonlocal number
+        number += 1
+        program = make_program(deployment, random, number)
+        simulation.arrive(program, on_end=think)
+
+    def think() -> None:
+        simulation.clock.after(random.expovariate(1.0 / think_s), begin)
+
+    for _ in range(clients):
+        simulation.clock.after(random.uniform(0.0, 60.0), begin)
+
+
+def _no_failure(simulation: Simulation) -> None:
+    """Let everything work."""
+
+
+def _at_failure(
+    simulation: Simulation, start: Callable[[], None], end: Callable[[], None]
+) -> None:
+    at_s = simulation.window.start_s + FAILURE_AT_S
+    simulation.clock.after(at_s, start)
+    simulation.clock.after(at_s + FAILURE_LASTS_S, end)
+
+
+def _engine_dies(simulation: Simulation) -> None:
+    """Let one engine die and restart with an empty cache."""
+    engine = next(iter(simulation.engines.values()))
+    _at_failure(simulation, engine.die, engine.restart)
+
+
+def _zone_goes(simulation: Simulation) -> None:
+    """Let all engines of the first zone of every region but the last one die."""
+    records = simulation.records
+    zone = next(iter(records.values())).availability_zone
+    engines = [
+        simulation.engines[name]
+        for name, record in records.items()
+        if record.availability_zone == zone
+    ]
+    for engine in engines:
+        _at_failure(simulation, engine.die, engine.restart)
+
+
+def _link_cut(simulation: Simulation) -> None:
+    """Cut the first region off the others."""
+    region = simulation.deployment.engines[0][0]
+    _at_failure(
+        simulation,
+        lambda: simulation.cut_regions.add(region),
+        lambda: simulation.cut_regions.discard(region),
+    )
+
+
+def _reports_freeze(simulation: Simulation) -> None:
+    """Stop the load reports."""
+
+    def set_frozen(frozen: bool) -> None:
+        simulation.reports_frozen = frozen
+
+    _at_failure(simulation, lambda: set_frozen(True), lambda: set_frozen(False))
+
+
+def _cache_events_stop(simulation: Simulation) -> None:
+    """Stop the cache events."""
+
+    def set_cut(cut: bool) -> None:
+        simulation.cache_events_cut = cut
+
+    _at_failure(simulation, lambda: set_cut(True), lambda: set_cut(False))
+
+
+FAILURES: dict[str, Callable[[Simulation], None]] = {
+    "none": _no_failure,
+    "engine-dies": _engine_dies,
+    "zone-goes": _zone_goes,
+    "link-cut": _link_cut,
+    "reports-freeze": _reports_freeze,
+    "cache-events-stop": _cache_events_stop,
+}
+
+
+def _result(
+    spec: RunSpec, simulation: Simulation, size: Sizing, engines: int
+) -> RunResult:
+    tally = simulation.tally
+    at_load_s = step_at_load(
+        turns_per_s=min(spec.load, 1.0) * size.turns_per_s,
+        output_tokens=size.means.output_tokens,
+        new_tokens=size.means.new_tokens,
+    )
+    specs = [program.spec for program, _ in tally.latencies_s]
+    capacity_turns = engines * size.turns_per_s * spec.measured_s
+    return RunResult(
+        latencies_s=[latency_s for _, latency_s in tally.latencies_s],
+        bounds_idle_s=[_bound_s(item, STEP_BASE_S) for item in specs],
+        bounds_at_load_s=[_bound_s(item, at_load_s) for item in specs],
+        late_share=tally.late_turns / max(1, tally.turns),
+        held_token_s=tally.held_token_s,
+        recomputed_tokens=tally.recomputed_tokens,
+        cross_region_bytes=tally.cross_region_bytes,
+        goodput=tally.turns / capacity_turns,
+        offered=tally.offered_programs,
+        refused=tally.refused_programs,
+        dropped=tally.dropped_programs,
+        unfinished=tally.unfinished_programs,
+        worst_caller=_worst_caller(tally.latencies_s),
+        recovery_s=_recovery_s(spec, tally.turn_latencies),
+        events=simulation.clock.events,
+    )
+
+
+def _bound_s(program: ProgramSpec, step_s: float) -> float:
+    prefill_s = PREFILL_PER_TOKEN_S
+    return shortest_chain_s(program.chain, step_s=step_s, prefill_s=prefill_s)
+
+
+def _worst_caller(latencies_s: list) -> float:
+    by_caller: dict[str, list[float]] = {}
+    for program, latency_s in latencies_s:
+        slowdown = latency_s / _bound_s(program.spec, STEP_BASE_S)
+        by_caller.setdefault(program.spec.caller_id, []).append(slowdown)
+    means = [sum(values) / len(values) for values in by_caller.values()]
+    if not means:
+        return float("nan")
+    return max(means) / (sum(means) / len(means))
+
+
+def _recovery_s(
+    spec: RunSpec, turn_latencies: list[tuple[float, float]]
+) -> float | None:
+    """Return the time until the p95 of turns is back within 10 %.
+
+    It counts from the failure to the end of the last slice whose p95 is above 1.1
+    times the p95 before the failure, up to the restart.
+    """
+    if spec.failure != "engine-dies":
+        return None
+    at_s = spec.warm_up_s + FAILURE_AT_S
+    before = [value for time_s, value in turn_latencies if time_s < at_s]
+    bound_s = 1.1 * percentile(before, 0.95)
+    recovered_s = 0.0
+    start_s = at_s
+    while start_s < at_s + FAILURE_LASTS_S:
+        end_s = start_s + RECOVERY_STEP_S
+        part = [value for time_s, value in turn_latencies if start_s <= time_s < end_s]
+        if part and percentile(part, 0.95) > bound_s:
+            recovered_s = end_s - at_s
+        start_s = end_s
+    return recovered_s
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile by the nearest-rank method, NaN without values."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def as_dict(spec: RunSpec) -> dict[str, object]:
+    """Return a run's inputs for reports."""
+    return asdict(spec)
--- a/lentilroad/request/concurrency.py
+++ b/lentilroad/request/concurrency.py
@@ -27,6 +27,7 @@
     __slots__ = (
         "_clock",
         "_engine_queue_s",
+        "_has_live_samples",
         "_limit",
         "_maximum",
         "_minimum",
@@ -46,7 +47,7 @@
         initial: int = const.CONCURRENCY_INITIAL,
         minimum: int = const.CONCURRENCY_MIN,
         maximum: int = const.CONCURRENCY_MAX,
-        time_per_token_target_s: float = const.TIME_PER_TOKEN_TARGET_S,
+        time_per_token_target_s: float = const.TIME_PER_TOKEN_MEAN_S,
         engine_queue_target_s: float = const.ENGINE_QUEUE_TARGET_S,
     ) -> None:
         self._clock = clock
@@ -56,9 +57,9 @@
         self._token_target_s = time_per_token_target_s
         self._queue_target_s = engine_queue_target_s
         self._window_start_s = clock.monotonic_s()
-        self._was_full = False
-        self._start_window()
+        self._has_live_samples = False
         self.in_flight = 0
+        self._start_window()
 
     @property
     def limit(self) -> int:
@@ -88,34 +89,51 @@
             First-token time beyond the expected prefill time.
         """
         self.in_flight -= 1
-        if time_per_token_s is None:
-            return
+        if time_per_token_s is not None and not self._has_live_samples:
+            self._take_sample(time_per_token_s, engine_queue_s)
+
+    def observe(self, *, time_per_token_s: float, engine_queue_s: float = 0.0) -> None:
+        """Take a live sample of the streams that run now.
+
+        The mean of a finished call tells about many seconds ago, which makes the
+        limit overshoot; once live samples arrive, only they count.
+
+        Parameters
+        ----------
+        time_per_token_s : float
+            Time between the latest tokens.
+        engine_queue_s : float
+            First-token time beyond the expected prefill time.
+        """
+        self._has_live_samples = True
+        self._take_sample(time_per_token_s, engine_queue_s)
+
+    def _take_sample(self, time_per_token_s: float, engine_queue_s: float) -> None:
         self._samples += 1
         self._time_per_token_s += time_per_token_s
         self._engine_queue_s += engine_queue_s
-        if self._clock.monotonic_s() - self._window_start_s < (
-            const.CONCURRENCY_WINDOW_S
-        ):
-            return
-        self._adapt()
-        self._start_window()
+        elapsed_s = self._clock.monotonic_s() - self._window_start_s
+        if elapsed_s >= const.CONCURRENCY_WINDOW_S:
+            self._adapt()
+            self._start_window()
 
     def _adapt(self) -> None:
         time_per_token_s = self._time_per_token_s / self._samples
         engine_queue_s = self._engine_queue_s / self._samples
-        if (
-            time_per_token_s > self._token_target_s
-            or engine_queue_s > self._queue_target_s
-        ):
-            lowered = self._limit * const.CONCURRENCY_DECREASE
+        headroom = self._token_target_s / max(1e-9, time_per_token_s)
+        if engine_queue_s > self._queue_target_s:
+            headroom = min(headroom, const.CONCURRENCY_DECREASE)
+        if headroom < 1.0:
+            lowered = self._limit * max(const.CONCURRENCY_DECREASE, headroom)
             self._limit = max(float(self._minimum), lowered)
-            return
-        if self._was_full:
-            self._limit = min(float(self._maximum), self._limit + 1.0)
+        elif self._was_full:
+            growth = min(const.CONCURRENCY_GROWTH, (headroom - 1.0) / 2.0)
+            raised = self._limit + max(0.25, growth * self._limit)
+            self._limit = min(float(self._maximum), raised)
 
     def _start_window(self) -> None:
         self._window_start_s = self._clock.monotonic_s()
         self._samples = 0
         self._time_per_token_s = 0.0
         self._engine_queue_s = 0.0
-        self._was_full = False
+        self._was_full = self.in_flight >= self.limit
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -38,11 +38,14 @@
 
 # p95 target of the time between tokens.
 TIME_PER_TOKEN_TARGET_S = 0.053
+# The mean is held below the p95 target.
+TIME_PER_TOKEN_MEAN_S = 0.9 * TIME_PER_TOKEN_TARGET_S
 CONCURRENCY_INITIAL = 16
 CONCURRENCY_MIN = 1
 CONCURRENCY_MAX = 512
 CONCURRENCY_WINDOW_S = 1.0
 CONCURRENCY_DECREASE = 0.9
+CONCURRENCY_GROWTH = 0.1
 # First-token time beyond the expected prefill that counts as engine queueing.
 ENGINE_QUEUE_TARGET_S = 0.5
 
@@ -67,6 +70,15 @@
 
 # Value of one second of a program's latency against the price of billed traffic.
 VALUE_MICRO_PER_S = 1_000.0
-PRICE_MICRO_PER_BYTE = 0.02
+PRICE_MICRO_PER_BYTE = 0.2
 CROSS_REGION_BYTES_PER_S = 200_000.0
 CROSS_REGION_BURST_S = 10.0
+
+# Prompt tokens that wait inside the engine: enough to keep it busy for the time a
+# finished call needs to make room for the next one.
+ENGINE_PREFILL_TOKENS_MAX = 2_048
+# Time that a waiting call is delayed per second of its prefill.
+PREFILL_WEIGHT = 1.0
+# Share of the upstream's memory that programs under way may hold before new ones
+# are refused; the rest is for their growth.
+NEW_PROGRAM_MEMORY_SHARE = 0.85
--- a/lentilroad/request/queue.py
+++ b/lentilroad/request/queue.py
@@ -25,10 +25,34 @@
     new_program_delay_s: float = const.NEW_PROGRAM_DELAY_S
     attained_cap_s: float = const.ATTAINED_SERVICE_CAP_S
     attained_weight: float = const.ATTAINED_SERVICE_WEIGHT
+    prefill_weight: float = const.PREFILL_WEIGHT
     interactive_advance_s: float = const.INTERACTIVE_ADVANCE_S
     depth_advance_s: float = const.DEPTH_ADVANCE_S
     # Service by which one caller may be ahead of another one that waits.
     fairness_slack_s: float = const.FAIRNESS_SLACK_S
+    prefill_tokens_max: int = const.ENGINE_PREFILL_TOKENS_MAX
+    new_program_memory_share: float = const.NEW_PROGRAM_MEMORY_SHARE
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallSize:
+    """Tokens of a call; zeros leave the bounds on tokens without effect."""
+
+    # Prompt tokens that are not cached at the upstream.
+    prefill_tokens: int = 0
+    # Prompt and expected output, which the upstream holds while the call runs.
+    memory_tokens: int = 0
+
+
+_NO_SIZE = CallSize()
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Running:
+    caller_id: str
+    charged_s: float
+    size: CallSize
+    in_prefill: bool = True
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -37,6 +61,7 @@
     priority: Priority
     rank_s: float
     deadline_s: float | None
+    size: CallSize
     waiting: bool = True
 
 
@@ -75,11 +100,16 @@
         "_concurrency",
         "_entries",
         "_last_check_s",
+        "_memory_tokens",
+        "_prefill_rate",
+        "_prefill_tokens",
         "_refused",
         "_running",
         "_sequence",
         "_service_s",
         "_settings",
+        "_under_way_tokens",
+        "_used_tokens",
         "_virtual_s",
     )
 
@@ -95,7 +125,12 @@
         self._settings = settings or QueueSettings()
         self._callers: dict[str, _CallerQueue[CallT]] = {}
         self._entries: dict[int, _Entry[CallT]] = {}
-        self._running: dict[int, tuple[str, float]] = {}
+        self._running: dict[int, _Running] = {}
+        self._prefill_tokens = 0
+        self._used_tokens = 0
+        self._memory_tokens: int | None = None
+        self._under_way_tokens = 0
+        self._prefill_rate = const.DEFAULT_PREFILL_TOKENS_PER_S
         self._refused: list[tuple[CallT, OverloadedError]] = []
         self._sequence = 0
         self._service_s = const.DEFAULT_SERVICE_S
@@ -118,8 +153,36 @@
         behind = ahead + 1 + self._concurrency.in_flight - limit
         return max(0, behind) * self._service_s / limit
 
+    def set_upstream(
+        self,
+        *,
+        memory_tokens: int | None,
+        under_way_tokens: int = 0,
+        prefill_tokens_per_s: float = 0.0,
+    ) -> None:
+        """Take over what the upstream last reported.
+
+        Parameters
+        ----------
+        memory_tokens : int, optional
+            Memory for running calls and cached prefixes; None sets no bound.
+        under_way_tokens : int
+            Part of it held by programs under way, running or paused.
+        prefill_tokens_per_s : float
+            Measured rate; 0 keeps the last one.
+        """
+        self._memory_tokens = memory_tokens
+        self._under_way_tokens = under_way_tokens
+        if prefill_tokens_per_s > 0.0:
+            self._prefill_rate = prefill_tokens_per_s
+
     def push(
-        self, call: CallT, *, priority: Priority, deadline_s: float | None = None
+        self,
+        call: CallT,
+        *,
+        priority: Priority,
+        deadline_s: float | None = None,
+        size: CallSize = _NO_SIZE,
     ) -> int:
         """Queue a call, or refuse it at once.
 
@@ -131,6 +194,8 @@
             What orders the queue.
         deadline_s : float, optional
             Deadline on the monotonic clock, in seconds.
+        size : CallSize, optional
+            Tokens to compute and to hold.
 
         Returns
         -------
@@ -144,7 +209,7 @@
             not run.
         """
         now_s = self._clock.monotonic_s()
-        rank_s = self._rank_s(priority, now_s, deadline_s)
+        rank_s = self._rank_s(priority, now_s, deadline_s, size)
         position = sum(1 for e in self._entries.values() if e.rank_s <= rank_s)
         wait_s = self.expected_wait_s(position=position)
         if self._is_late(now_s, wait_s, deadline_s):
@@ -154,7 +219,11 @@
         elif len(self._entries) >= self._settings.calls_max:
             self._displace_new_program(wait_s)
         entry = _Entry(
-            call=call, priority=priority, rank_s=rank_s, deadline_s=deadline_s
+            call=call,
+            priority=priority,
+            rank_s=rank_s,
+            deadline_s=deadline_s,
+            size=size,
         )
         self._entries[id(call)] = entry
         self._sequence += 1
@@ -168,18 +237,37 @@
         The runner calls `finished` once for every call returned here.
         """
         self._refuse_late()
-        if not self._entries or not self._concurrency.try_acquire():
+        if not self._entries or self._prefill_tokens >= (
+            self._settings.prefill_tokens_max
+        ):
             return None
         caller_id, caller = self._next_caller()
-        _, _, entry = heappop(caller.heap)
+        entry = caller.heap[0][2]
+        if not self._fits(entry.size) or not self._concurrency.try_acquire():
+            return None
+        heappop(caller.heap)
         self._drop_removed(caller)
         del self._entries[id(entry.call)]
         self._virtual_s = max(self._virtual_s, caller.tag_s)
         caller.tag_s += self._service_s
         caller.running += 1
-        self._running[id(entry.call)] = (caller_id, self._service_s)
+        self._running[id(entry.call)] = _Running(
+            caller_id=caller_id, charged_s=self._service_s, size=entry.size
+        )
+        self._prefill_tokens += entry.size.prefill_tokens
+        self._used_tokens += entry.size.memory_tokens
         return entry.call
 
+    def first_token(self, call: CallT) -> None:
+        """Record that the upstream has computed the prompt of a running call.
+
+        Another call may be ready then.
+        """
+        running = self._running.get(id(call))
+        if running is not None and running.in_prefill:
+            running.in_prefill = False
+            self._prefill_tokens -= running.size.prefill_tokens
+
     def finished(
         self,
         call: CallT,
@@ -210,12 +298,19 @@
         if succeeded:
             weight = const.SERVICE_EWMA_WEIGHT
             self._service_s += weight * (service_s - self._service_s)
-        caller_id, charged_s = self._running.pop(id(call))
-        caller = self._callers[caller_id]
+        self.first_token(call)
+        running = self._running.pop(id(call))
+        self._used_tokens -= running.size.memory_tokens
+        caller = self._callers[running.caller_id]
         caller.running -= 1
-        caller.tag_s += service_s - charged_s
+        caller.tag_s += service_s - running.charged_s
         if caller.running == 0 and not caller.heap:
-            self._forget_idle(caller_id, caller)
+            self._forget_idle(running.caller_id, caller)
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Tokens that the waiting calls will hold."""
+        return sum(entry.size.memory_tokens for entry in self._entries.values())
 
     def remove(self, call: CallT) -> bool:
         """Drop a waiting call that was cancelled; return whether it was waiting."""
@@ -245,12 +340,22 @@
         self._refused = []
         return refused
 
+    def _fits(self, size: CallSize) -> bool:
+        if self._memory_tokens is None or not self._running:
+            return True
+        return self._used_tokens + size.memory_tokens <= self._memory_tokens
+
     def _rank_s(
-        self, priority: Priority, now_s: float, deadline_s: float | None
+        self,
+        priority: Priority,
+        now_s: float,
+        deadline_s: float | None,
+        size: CallSize,
     ) -> float:
         settings = self._settings
         attained_s = min(priority.attained_service_s, settings.attained_cap_s)
         rank_s = now_s + settings.attained_weight * attained_s
+        rank_s += settings.prefill_weight * size.prefill_tokens / self._prefill_rate
         if not priority.under_way:
             rank_s += settings.new_program_delay_s
         if priority.interactive:
@@ -273,6 +378,11 @@
             raise self._overloaded("the queue takes no new programs", wait_s)
         if wait_s > settings.new_program_wait_max_s:
             raise self._overloaded("the wait is too long for a new program", wait_s)
+        if self._memory_tokens is None:
+            return
+        room = settings.new_program_memory_share * self._memory_tokens
+        if self._under_way_tokens > room:
+            raise self._overloaded("programs under way fill the memory", wait_s)
 
     def _displace_new_program(self, wait_s: float) -> None:
         new = [e for e in self._entries.values() if not e.priority.under_way]
--- /dev/null
+++ b/lentilroad/upstream/retention.py
@@ -0,0 +1,239 @@
+"""What happens to a program's prefix cache while it waits for a tool."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Literal
+
+from lentilroad.clock import Clock
+from lentilroad.upstream import retention_const as const
+
+Action = Literal["export", "drop"]
+
+
+class PauseSketch:
+    """Decayed histogram of pause lengths with logarithmic buckets.
+
+    Recent pauses count more: after `memory` further pauses an observation has lost
+    about two thirds of its weight.
+
+    Parameters
+    ----------
+    memory : float
+        Number of pauses over which the sketch forgets.
+    """
+
+    __slots__ = ("_growth", "_next_weight", "_total", "_weights")
+
+    def __init__(self, *, memory: float = const.SKETCH_MEMORY_PAUSES) -> None:
+        self._weights = [0.0] * const.SKETCH_BUCKETS
+        self._growth = 1.0 + 1.0 / memory
+        self._next_weight = 1.0
+        self._total = 0.0
+
+    def observe(self, pause_s: float) -> None:
+        """Add one pause, in seconds."""
+        self._weights[_bucket(pause_s)] += self._next_weight
+        self._total += self._next_weight
+        self._next_weight *= self._growth
+        if self._next_weight > const.SKETCH_RESCALE_ABOVE:
+            self._rescale()
+
+    def quantile_s(self, quantile: float) -> float | None:
+        """Return a quantile in seconds, None without observations."""
+        if self._total <= 0.0:
+            return None
+        left = quantile * self._total
+        for index, weight in enumerate(self._weights):
+            left -= weight
+            if left <= 0.0 and weight > 0.0:
+                return _middle_s(index)
+        return _middle_s(const.SKETCH_BUCKETS - 1)
+
+    def remaining_s(self, elapsed_s: float) -> float:
+        """Return the mean time left of a pause that has lasted `elapsed_s`.
+
+        Without any observed pause that long, the pause is expected to go on for as
+        long again, as heavy-tailed pauses do.
+        """
+        first = _bucket(elapsed_s) if elapsed_s > 0.0 else 0
+        weight_sum = 0.0
+        left_sum = 0.0
+        for index in range(first, const.SKETCH_BUCKETS):
+            weight = self._weights[index]
+            if weight > 0.0:
+                weight_sum += weight
+                left_sum += weight * max(0.0, _middle_s(index) - elapsed_s)
+        if weight_sum <= const.SKETCH_TAIL_SHARE * self._total:
+            return max(const.UNKNOWN_PAUSE_S, elapsed_s)
+        return left_sum / weight_sum
+
+    def _rescale(self) -> None:
+        scale = 1.0 / self._next_weight
+        self._weights = [weight * scale for weight in self._weights]
+        self._total *= scale
+        self._next_weight = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Victim:
+    """Cache to give up, and how."""
+
+    program_id: str
+    action: Action
+
+
+@dataclass(slots=True, kw_only=True)
+class _Paused:
+    tool: str
+    tokens: int
+    since_s: float
+
+
+class Retention:
+    """Learned pause lengths by tool, and the paused programs of one upstream.
+
+    Memory and rebuild time both grow with the number of cached tokens, so the size
+    cancels out and the cache to give up first is the one of the program with the
+    longest expected remaining pause.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    can_export : bool
+        Whether the upstream can export and import its cache.
+    export_capacity_tokens : int
+        Room for exported caches.
+    """
+
+    __slots__ = (
+        "_can_export",
+        "_clock",
+        "_export_left",
+        "_exported",
+        "_paused",
+        "_sketches",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        can_export: bool = False,
+        export_capacity_tokens: int = 0,
+    ) -> None:
+        self._clock = clock
+        self._can_export = can_export
+        self._export_left = export_capacity_tokens
+        self._exported: dict[str, int] = {}
+        self._paused: dict[str, _Paused] = {}
+        self._sketches: OrderedDict[str, PauseSketch] = OrderedDict()
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens cached at the upstream for paused programs."""
+        return sum(paused.tokens for paused in self._paused.values())
+
+    def paused(self, program_id: str, *, tool: str, tokens: int) -> None:
+        """Record that a turn ended; `tool` is empty when it is not known."""
+        self._paused[program_id] = _Paused(
+            tool=tool, tokens=tokens, since_s=self._clock.monotonic_s()
+        )
+
+    def resumed(self, program_id: str) -> bool:
+        """Record the program's next turn; return whether its cache is exported."""
+        paused = self._paused.pop(program_id, None)
+        if paused is not None:
+            pause_s = self._clock.monotonic_s() - paused.since_s
+            self._sketch(paused.tool).observe(pause_s)
+        return self._return_export(program_id)
+
+    def ended(self, program_id: str) -> bool:
+        """Forget an ended program; return whether its cache is exported.
+
+        The caller drops the cache at the upstream at once.
+        """
+        self._paused.pop(program_id, None)
+        return self._return_export(program_id)
+
+    def evicted(self, program_id: str) -> None:
+        """Record that the upstream dropped the cache by itself."""
+        paused = self._paused.get(program_id)
+        if paused is not None:
+            paused.tokens = 0
+
+    def remaining_s(self, program_id: str) -> float:
+        """Return the expected time until the program's next turn."""
+        paused = self._paused[program_id]
+        elapsed_s = self._clock.monotonic_s() - paused.since_s
+        return self._sketch(paused.tool).remaining_s(elapsed_s)
+
+    def victims(self, *, used_tokens: int, capacity_tokens: int) -> list[Victim]:
+        """Return the caches to give up now, longest remaining pause first.
+
+        Parameters
+        ----------
+        used_tokens, capacity_tokens : int
+            Memory of the upstream that is in use, and all of it.
+        """
+        if used_tokens <= const.PRESSURE_HIGH * capacity_tokens:
+            return []
+        excess = used_tokens - const.PRESSURE_LOW * capacity_tokens
+        holding = [item for item, paused in self._paused.items() if paused.tokens]
+        ranked = self._by_remaining_pause(holding)
+        found = []
+        for program_id, remaining_s in ranked:
+            if excess <= 0:
+                break
+            tokens = self._paused[program_id].tokens
+            excess -= tokens
+            found.append(self._give_up(program_id, tokens, remaining_s))
+        return found
+
+    def _by_remaining_pause(
+        self, program_ids: Iterable[str]
+    ) -> list[tuple[str, float]]:
+        pairs = [(item, self.remaining_s(item)) for item in program_ids]
+        return sorted(pairs, key=lambda pair: pair[1], reverse=True)
+
+    def _give_up(self, program_id: str, tokens: int, remaining_s: float) -> Victim:
+        paused = self._paused[program_id]
+        # The pause goes on, and its length is still to be learned.
+        paused.tokens = 0
+        worthwhile = self._can_export and remaining_s < const.EXPORT_PAUSE_MAX_S
+        if worthwhile and tokens <= self._export_left:
+            self._export_left -= tokens
+            self._exported[program_id] = tokens
+            return Victim(program_id=program_id, action="export")
+        return Victim(program_id=program_id, action="drop")
+
+    def _return_export(self, program_id: str) -> bool:
+        tokens = self._exported.pop(program_id, None)
+        if tokens is None:
+            return False
+        self._export_left += tokens
+        return True
+
+    def _sketch(self, tool: str) -> PauseSketch:
+        sketch = self._sketches.get(tool)
+        if sketch is None:
+            sketch = self._sketches[tool] = PauseSketch()
+            if len(self._sketches) > const.TOOLS_MAX:
+                self._sketches.popitem(last=False)
+        self._sketches.move_to_end(tool)
+        return sketch
+
+
+def _bucket(pause_s: float) -> int:
+    if pause_s <= const.SKETCH_SHORTEST_S:
+        return 0
+    index = int(math.log(pause_s / const.SKETCH_SHORTEST_S) / const.SKETCH_LOG_WIDTH)
+    return min(const.SKETCH_BUCKETS - 1, index)
+
+
+def _middle_s(index: int) -> float:
+    return const.SKETCH_SHORTEST_S * math.exp(const.SKETCH_LOG_WIDTH * (index + 0.5))
