--- a/lentilroad/bench/peer_network.py
+++ b/lentilroad/bench/peer_network.py
@@ -75,7 +75,9 @@
     async def _carry(self, sender: str, receiver: str, message: Any, kind: Any) -> bool:
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(self._codec.encode(message, kind))
-        if self.blocked(sender, receiver) or self._random.random() < self.loss:
+        if sender in self.dead or self.blocked(sender, receiver):
+            return False
+        if self._random.random() < self.loss:
             return False
         latency_s = self._latency_s(sender, receiver)
         if latency_s:
--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -9,7 +9,8 @@
 # The key-value service refuses values above 1 MB.
 VALUE_MAX_BYTES = 1_000_000
 # A changed caller or service re-sends one part of about this size to every process.
-PART_TARGET_BYTES = 32_768
+# With 32 kB parts, 16,000 changes a day cost 7 kB/s per node of the allowed 12 kB/s.
+PART_TARGET_BYTES = 4_096
 LINES_PER_TEXT_PART = 256
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
@@ -21,13 +22,22 @@
 WATCH_TIMEOUT_S = 30.0
 PUSH_COUNT = 4
 DIGEST_INTERVAL_S = 1.0
-CALL_TIMEOUT_S = 1.0
+# Doubles with each failed attempt, for peers that are slow and not dead.
+CALL_TIMEOUT_S = 0.5
+CALL_TIMEOUT_MAX_S = 4.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
 # Share of digests sent to another region when the own region has many entries.
 FAR_DIGEST_SHARE = 0.1
 COLD_START_PEERS = 3
+PULL_PEERS = 2
 WRITE_ATTEMPTS = 5
+# Six watchers that read a large configuration for the first time stay below 200
+# reads/s, and an operator who writes one stays below 50 writes/s.
+READ_BURST = 12
+READ_PAUSE_S = 0.04
+WRITE_BURST = 12
+WRITE_PAUSE_S = 0.04
 # Versions whose parts stay in memory, so that late peers can still pull them.
 KEPT_VERSIONS = 2
 KEY_VALUE_SOURCE = "key-value"
--- a/lentilroad/version/distribution.py
+++ b/lentilroad/version/distribution.py
@@ -13,13 +13,15 @@
 
 from lentilroad.adapters.key_value import KeyValueStore
 from lentilroad.clock import Clock
-from lentilroad.errors import ConfigurationError, LentilroadError
+from lentilroad.errors import ConfigurationError
 from lentilroad.version import const
 from lentilroad.version.disk import ConfigurationDisk
 from lentilroad.version.fetch import PartSource, fetch_parts
+from lentilroad.version.gossip import Addresses, Call, VersionGossip
 from lentilroad.version.model import Configuration, ConfigurationVersion, Head
 from lentilroad.version.parts import decode_head, join_configuration
 from lentilroad.version.store import Applied
+from lentilroad.version.wanted import WantedHead
 from lentilroad.version.watch import watch_head
 from lentilroad.wire.messages import (
     ConfigDigestReply,
@@ -29,8 +31,6 @@
 )
 from lentilroad.wire.services import CONFIG_DIGEST, PULL_PARTS, Method
 
-Call = Callable[..., Awaitable[Any]]
-Addresses = Callable[[], Sequence[str]]
 Build = Callable[[Head, Sequence[bytes]], Configuration]
 
 
@@ -112,11 +112,17 @@
         run_blocking: Callable[[Callable[[], None]], Awaitable[None]] = _in_thread,
     ) -> None:
         self._call = call
+        self._gossip = VersionGossip(
+            call=call,
+            random=random,
+            peers=peers,
+            far_peers=far_peers,
+            address=address,
+            in_force=lambda: (self.version, self._current_value),
+            on_head=self._learn,
+        )
         self._clock = clock
         self._random = random
-        self._peers = peers
-        self._far_peers = far_peers
-        self._address = address
         self._key_value = key_value
         self._is_watcher = is_watcher
         self._push_count = push_count
@@ -127,20 +133,16 @@
         self._current: ConfigurationVersion | None = None
         self._current_value = b""
         # Read before any peer can offer a lower version.
-        self._highest = self._disk.read_highest() if self._disk else 0
+        self._wanted = WantedHead(
+            highest=self._disk.read_highest() if self._disk else 0
+        )
         self._in_force_time_s = 0.0
         # Parts of the version in force and of the one before, for late peers.
         self._kept: list[dict[str, bytes]] = []
-        self._wanted: Head | None = None
-        self._wanted_value = b""
         self._offered: dict[str, bytes] = {}
-        self._sources: list[str] = []
-        self._rejected: set[str] = set()
         self._last_error = ""
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
-        self._asking: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[Callable[[ConfigurationVersion], None]] = []
 
     @property
@@ -164,11 +166,10 @@
     def status(self) -> DistributionStatus:
         """Return what this process reports."""
         head = self._current.head if self._current else None
-        wanted = self._wanted.version if self._wanted else self.version
         return DistributionStatus(
             version=self.version,
-            wanted_version=wanted,
-            highest_version=max(self._highest, self.version),
+            wanted_version=self._wanted.version,
+            highest_version=self._wanted.highest,
             write_id=head.write_id if head else "",
             author=head.author if head else "",
             applied_time_s=head.time_s if head else 0.0,
@@ -198,18 +199,15 @@
         """Handle PULL_PARTS: return the parts that this process holds."""
         found = {}
         for digest in request.digests:
-            value = self._held_part(digest)
+            value = self.held_part(digest)
             if value is not None:
                 found[digest] = value
         return PullPartsReply(parts=found)
 
     def note_peer_version(self, address: str, version: int) -> None:
         """Take note of a version seen in a peer's heartbeat or gossip."""
-        wanted = self._wanted.version if self._wanted else 0
-        if version <= max(self.version, wanted) or address in self._asking:
-            return
-        self._asking.add(address)
-        self._spawn(self._ask(address))
+        if version > self._wanted.version:
+            self._gossip.ask(address)
 
     async def offer(self, applied: Applied) -> None:
         """Distribute a change that was accepted by this process's store."""
@@ -232,7 +230,7 @@
         except (ConfigurationError, KeyError) as error:
             self._note_error(f"the data folder's configuration is unusable: {error}")
             return
-        if head.version >= self._highest:
+        if head.version >= self._wanted.highest:
             self._put_in_force(head, value, ordered, configuration)
 
     async def run(self) -> None:
@@ -246,40 +244,20 @@
                 if self._key_value is not None:
                     group.create_task(self._watch_loop(self._key_value))
         finally:
-            for task in self._tasks:
-                task.cancel()
+            self._gossip.close()
 
     async def _cold_start(self) -> None:
         """Ask several peers at once, to start from the highest version known."""
-        asking = [
-            asyncio.create_task(self._tell(peer, with_head=False))
-            for peer in self._some_peers(const.COLD_START_PEERS)
-        ]
+        asking = self._gossip.send_digests(const.COLD_START_PEERS)
         if asking:
-            _, late = await asyncio.wait(asking, timeout=const.COLD_START_WAIT_S)
-            # A late answer is still of use.
-            for task in late:
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+            await asyncio.wait(asking, timeout=const.COLD_START_WAIT_S)
 
     async def _digest_loop(self) -> None:
         while True:
             cold = self._current is None
             mean_s = const.COLD_INTERVAL_S if cold else self._digest_interval_s
             await self._clock.sleep(mean_s * self._random.uniform(0.5, 1.5))
-            count = const.COLD_START_PEERS if self._current is None else 1
-            for peer in self._some_peers(count):
-                self._spawn(self._tell(peer, with_head=False))
-
-    def _some_peers(self, count: int) -> list[str]:
-        near = [peer for peer in self._peers() if peer != self._address]
-        far = self._far_peers()
-        # A small region sends more of its digests abroad, so that a region whose
-        # watchers cannot reach the service still catches up within seconds.
-        share = max(const.FAR_DIGEST_SHARE, min(0.5, 2 / (len(near) + 1)))
-        if far and (not near or self._random.random() < share):
-            return [self._random.choice(far)]
-        return self._random.sample(near, min(count, len(near)))
+            self._gossip.send_digests(const.COLD_START_PEERS if cold else 1)
 
     async def _watch_loop(self, key_value: KeyValueStore) -> None:
         await watch_head(
@@ -291,33 +269,6 @@
             on_error=self._note_error,
         )
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _ask(self, address: str) -> None:
-        try:
-            await self._tell(address, with_head=False)
-        finally:
-            self._asking.discard(address)
-
-    async def _tell(self, address: str, *, with_head: bool) -> None:
-        """Send our version to a peer and learn its version if that is higher."""
-        request = ConfigDigestRequest(
-            version=self.version,
-            head=self._current_value if with_head else b"",
-            sender=self._address,
-        )
-        try:
-            reply = await self._call(
-                address, CONFIG_DIGEST, request, timeout_s=const.CALL_TIMEOUT_S
-            )
-        except LentilroadError:
-            return
-        if reply.head:
-            self._learn(reply.head, address)
-
     def _learn(self, value: bytes, source: str) -> None:
         """Take note of a head; the pull loop fetches it if it is newer."""
         try:
@@ -325,61 +276,35 @@
         except ConfigurationError as error:
             self._note_error(f"head from {source or 'a peer'}: {error}")
             return
-        if self._is_refused(head):
-            return
-        wanted = self._wanted
-        if wanted is None or head.version > wanted.version:
-            self._wanted = head
-            self._wanted_value = value
-            self._sources = []
-        elif head.version < wanted.version or head.write_id != wanted.write_id:
-            return
-        if source and source not in self._sources:
-            self._sources.append(source)
-        self._wake.set()
-
-    def _is_refused(self, head: Head) -> bool:
-        current = self._current
-        if current is not None and head.version == current.version:
-            if head.write_id != current.head.write_id:
-                self._note_error(
-                    f"two different heads carry version {head.version}; apply the "
-                    "configuration again to make a higher version"
-                )
-            return True
-        if head.version < self._highest and head.version > self.version:
-            self._note_error(
-                f"refused version {head.version}: this process had version "
-                f"{self._highest} in force before it restarted"
-            )
-        return (
-            head.version < max(self._highest, self.version + 1)
-            or head.write_id in self._rejected
-        )
+        fault = self._wanted.learn(head, value, source)
+        if fault:
+            self._note_error(fault)
+        if self._wanted.head is not None:
+            self._wake.set()
 
     async def _pull_loop(self) -> None:
         attempt = 0
         while True:
             await self._wake.wait()
-            if self._wanted is None or self._wanted.version <= self.version:
-                self._wanted = None
+            head = self._wanted.head
+            if head is None:
                 self._wake.clear()
                 attempt = 0
                 continue
-            if await self._pull(self._wanted, self._wanted_value):
+            if await self._pull(head, self._wanted.value, attempt):
                 attempt = 0
                 continue
             delay_s = min(const.RETRY_MAX_S, const.RETRY_MIN_S * 2**attempt)
             attempt = min(attempt + 1, const.RETRY_DOUBLINGS)
             await self._clock.sleep(delay_s * self._random.uniform(0.5, 1.0))
 
-    async def _pull(self, head: Head, value: bytes) -> bool:
+    async def _pull(self, head: Head, value: bytes, attempt: int) -> bool:
         """Fetch and put one version in force; False asks for another attempt."""
-        held = {digest: self._held_part(digest) for digest in head.parts}
+        held = {digest: self.held_part(digest) for digest in head.parts}
         parts = {digest: part for digest, part in held.items() if part is not None}
         missing = [digest for digest in held if digest not in parts]
         if missing:
-            parts.update(await fetch_parts(missing, self._part_source()))
+            parts.update(await fetch_parts(missing, self._part_source(attempt)))
         # Parts that did arrive are kept, so that a repeated pull asks for the rest.
         self._offered.update(parts)
         if len(parts) < len(held):
@@ -388,28 +313,29 @@
         try:
             configuration = self._build(head, list(ordered.values()))
         except ConfigurationError as error:
-            self._rejected.add(head.write_id)
-            if self._wanted is head:
-                self._wanted = None
+            self._wanted.reject(head)
             self._note_error(f"version {head.version}: {error}")
             return True
         await self._save(head, value, ordered)
         self._put_in_force(head, value, ordered, configuration)
-        self._push()
+        self._gossip.push(self._push_count)
         return True
 
-    def _part_source(self) -> PartSource:
-        sources = self._sources
-        self._sources = []
+    def _part_source(self, attempt: int) -> PartSource:
+        sources, self._wanted.sources = self._wanted.sources, []
         known = [source for source in sources if source != const.KEY_VALUE_SOURCE]
-        others = [*self._some_peers(1), *self._some_peers(1)]
+        if not known and len(known) == len(sources):
+            known = self._gossip.choose(const.PULL_PEERS)
         return PartSource(
             call=self._call,
-            addresses=list(dict.fromkeys([*known, *others])),
+            addresses=known,
+            clock=self._clock,
             key_value=self._key_value if self._is_watcher() else None,
+            timeout_s=min(const.CALL_TIMEOUT_MAX_S, const.CALL_TIMEOUT_S * 2**attempt),
         )
 
-    def _held_part(self, digest: str) -> bytes | None:
+    def held_part(self, digest: str) -> bytes | None:
+        """Return a part that this process holds, or None."""
         for parts in (self._offered, *self._kept):
             if digest in parts:
                 return parts[digest]
@@ -436,10 +362,10 @@
     ) -> None:
         self._current = ConfigurationVersion(head=head, configuration=configuration)
         self._current_value = value
-        self._highest = max(self._highest, head.version)
+        self._wanted.put_in_force(head)
         self._in_force_time_s = self._clock.time_s()
         self._kept = [parts, *self._kept][: const.KEPT_VERSIONS]
-        if self._wanted is None or self._wanted.version <= head.version:
+        if self._wanted.head is None:
             self._offered = {}
         self._last_error = ""
         eliot.log_message(
@@ -453,13 +379,6 @@
         for listener in self._listeners:
             listener(self._current)
 
-    def _push(self) -> None:
-        near = [peer for peer in self._peers() if peer != self._address]
-        if not self._address:
-            return
-        for peer in self._random.sample(near, min(self._push_count, len(near))):
-            self._spawn(self._tell(peer, with_head=True))
-
     def _note_error(self, text: str) -> None:
         if text != self._last_error:
             eliot.log_message(message_type="version:problem", reason=text)
--- a/lentilroad/version/fetch.py
+++ b/lentilroad/version/fetch.py
@@ -7,8 +7,14 @@
 from typing import Any
 
 from lentilroad.adapters.key_value import KeyValueStore
+from lentilroad.clock import Clock
 from lentilroad.errors import LentilroadError
-from lentilroad.version.const import CALL_TIMEOUT_S, PART_PREFIX
+from lentilroad.version.const import (
+    CALL_TIMEOUT_S,
+    PART_PREFIX,
+    READ_BURST,
+    READ_PAUSE_S,
+)
 from lentilroad.version.parts import digest_of
 from lentilroad.wire.messages import PullPartsRequest
 from lentilroad.wire.services import PULL_PARTS
@@ -24,7 +30,9 @@
 
     call: Callable[..., Awaitable[Any]]
     addresses: list[str]
+    clock: Clock
     key_value: KeyValueStore | None = None
+    timeout_s: float = CALL_TIMEOUT_S
 
 
 async def fetch_parts(digests: list[str], source: PartSource) -> dict[str, bytes]:
@@ -35,9 +43,9 @@
         if not missing:
             return found
         found.update(await _from_peer(missing, address, source))
-    for digest in digests:
-        if digest not in found and source.key_value is not None:
-            found.update(await _from_service(digest, source.key_value))
+    if source.key_value is not None:
+        missing = [digest for digest in digests if digest not in found]
+        found.update(await _from_service(missing, source.key_value, source.clock))
     return found
 
 
@@ -49,7 +57,7 @@
             address,
             PULL_PARTS,
             PullPartsRequest(digests=digests),
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=source.timeout_s,
         )
     except LentilroadError:
         return {}
@@ -61,11 +69,17 @@
     }
 
 
-async def _from_service(digest: str, key_value: KeyValueStore) -> dict[str, bytes]:
-    try:
-        item = await key_value.read(key=PART_PREFIX + digest)
-    except LentilroadError:
-        return {}
-    if item is None or digest_of(item.value) != digest:
-        return {}
-    return {digest: item.value}
+async def _from_service(
+    digests: list[str], key_value: KeyValueStore, clock: Clock
+) -> dict[str, bytes]:
+    found = {}
+    for index, digest in enumerate(digests):
+        if index >= READ_BURST:
+            await clock.sleep(READ_PAUSE_S)
+        try:
+            item = await key_value.read(key=PART_PREFIX + digest)
+        except LentilroadError:
+            break
+        if item is not None and digest_of(item.value) == digest:
+            found[digest] = item.value
+    return found
--- /dev/null
+++ b/lentilroad/version/records.py
@@ -0,0 +1,65 @@
+"""Values of the configuration that are written once and never change."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from lentilroad.adapters.key_value import KeyValueStore
+from lentilroad.errors import ConflictError, NotFoundError, UnavailableError
+from lentilroad.version.const import PART_PREFIX, VERSION_PREFIX, WRITE_ATTEMPTS
+
+
+def version_key(version: int) -> str:
+    """Return the key of a version's permanent record."""
+    return f"{VERSION_PREFIX}{version:012d}"
+
+
+def unchanged_error() -> UnavailableError:
+    """Return the error of a change that certainly had no effect."""
+    return UnavailableError(
+        "the key-value service is unavailable and the configuration is unchanged; "
+        "repeat the command when the service is back",
+        outcome="not_run",
+    )
+
+
+async def read_part(key_value: KeyValueStore, digest: str) -> bytes:
+    """Return a part.
+
+    Raises
+    ------
+    NotFoundError
+        The service does not hold the part.
+    """
+    item = await key_value.read(key=PART_PREFIX + digest)
+    if item is None:
+        raise NotFoundError(
+            f"part {digest} is missing in the key-value service; apply the "
+            "operators' file again"
+        )
+    return item.value
+
+
+async def write_once(
+    key_value: KeyValueStore,
+    key: str,
+    value: bytes,
+    *,
+    pause: Callable[[int], Awaitable[None]],
+) -> None:
+    """Write a value that never changes; an existing one is the same.
+
+    Raises
+    ------
+    UnavailableError
+        The service stays unavailable; the configuration is unchanged.
+    """
+    for attempt in range(WRITE_ATTEMPTS):
+        try:
+            await key_value.compare_and_swap(key=key, value=value, expected_revision=0)
+            return
+        except ConflictError:
+            return
+        except UnavailableError:
+            await pause(attempt)
+    raise unchanged_error()
--- a/lentilroad/version/store.py
+++ b/lentilroad/version/store.py
@@ -24,8 +24,9 @@
     PART_PREFIX,
     RETRY_MAX_S,
     RETRY_MIN_S,
-    VERSION_PREFIX,
     WRITE_ATTEMPTS,
+    WRITE_BURST,
+    WRITE_PAUSE_S,
 )
 from lentilroad.version.diff import diff_configurations
 from lentilroad.version.model import Configuration, Head
@@ -37,6 +38,12 @@
     split_configuration,
     split_text,
 )
+from lentilroad.version.records import (
+    read_part,
+    unchanged_error,
+    version_key,
+    write_once,
+)
 from lentilroad.version.text import compile_text
 
 
@@ -54,11 +61,6 @@
 OnApplied = Callable[[Applied], Awaitable[None]]
 
 
-def version_key(version: int) -> str:
-    """Return the key of a version's permanent record."""
-    return f"{VERSION_PREFIX}{version:012d}"
-
-
 class ConfigurationStore:
     """Versions of the operators' configuration; versions only increase.
 
@@ -72,6 +74,9 @@
         Source of write ids and jitter.
     on_applied : Callable, optional
         Called with each accepted change, for example `Distribution.offer`.
+    local_part : Callable, optional
+        Returns a part that this process holds, such as `Distribution.held_part`;
+        saves reads of the service.
     """
 
     def __init__(
@@ -81,11 +86,13 @@
         clock: Clock,
         random: random_module.Random | None = None,
         on_applied: OnApplied | None = None,
+        local_part: Callable[[str], bytes | None] = lambda digest: None,
     ) -> None:
         self._key_value = key_value
         self._clock = clock
         self._random = random or random_module.SystemRandom()
         self._on_applied = on_applied
+        self._local_part = local_part
 
     async def read_head(self) -> Head | None:
         """Return the newest accepted head, or None before the first one."""
@@ -303,11 +310,7 @@
             await self._pause(attempt)
         if may_be_written:
             raise _unknown(head)
-        raise UnavailableError(
-            "the key-value service is unavailable and the configuration is "
-            "unchanged; repeat the command when the service is back",
-            outcome="not_run",
-        )
+        raise unchanged_error()
 
     async def _own_write_won(
         self, head: Head, configuration: Configuration, may_be_written: bool
@@ -351,37 +354,19 @@
     async def _read_parts(self, digests: Iterable[str]) -> dict[str, bytes]:
         parts = {}
         for digest in digests:
-            item = await self._key_value.read(key=PART_PREFIX + digest)
-            if item is None:
-                raise NotFoundError(
-                    f"part {digest} is missing in the key-value service; apply the "
-                    "operators' file again"
-                )
-            parts[digest] = item.value
+            local = self._local_part(digest)
+            parts[digest] = local or await read_part(self._key_value, digest)
         return parts
 
     async def _write_parts(self, parts: dict[str, bytes], known: set[str]) -> None:
-        for digest, value in parts.items():
-            if digest not in known:
-                await self._write_once(PART_PREFIX + digest, value)
+        new = [digest for digest in parts if digest not in known]
+        for index, digest in enumerate(new):
+            if index >= WRITE_BURST:
+                await self._clock.sleep(WRITE_PAUSE_S)
+            await self._write_once(PART_PREFIX + digest, parts[digest])
 
     async def _write_once(self, key: str, value: bytes) -> None:
-        """Write a value that never changes; an existing one is the same."""
-        for attempt in range(WRITE_ATTEMPTS):
-            try:
-                await self._key_value.compare_and_swap(
-                    key=key, value=value, expected_revision=0
-                )
-                return
-            except ConflictError:
-                return
-            except UnavailableError:
-                await self._pause(attempt)
-        raise UnavailableError(
-            "the key-value service is unavailable and the configuration is "
-            "unchanged; repeat the command when the service is back",
-            outcome="not_run",
-        )
+        await write_once(self._key_value, key, value, pause=self._pause)
 
     async def _pause(self, attempt: int) -> None:
         delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**attempt)
