Give sub-agents an id in their root's shard

Cause: the front made sub-agent ids with a suffix that the id schema refuses; 8 of 40 programs of a load run failed with not_found. Change: the front asks for a new id in the parent's shard. Conclusion: one function makes all program ids.

--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -20,7 +20,12 @@
 from lentilroad.errors import UnavailableError
 from lentilroad.membership.const import SHARD_COUNT
 from lentilroad.membership.members import Members
-from lentilroad.membership.program_id import new_program_id, shard_name, shard_of
+from lentilroad.membership.program_id import (
+    new_program_id,
+    parse_shard,
+    shard_name,
+    shard_of,
+)
 from lentilroad.membership.shards import ShardTable
 from lentilroad.membership.sidecars import SidecarDirectory
 from lentilroad.process.caller_limits import CallerAdmission
@@ -239,7 +244,10 @@
             idempotent=operation.repeatable, price_micro=operation.price_micro
         )
 
-    def _new_program_id(self) -> str:
+    def _new_program_id(self, parent_program_id: str | None) -> str:
+        if parent_program_id is not None:
+            shard = shard_of(parent_program_id)
+            return new_program_id(parse_shard(shard)[0], shard, self.random)
         # An own shard saves the hop to another owner.
         shards = self.shard_table.shards_owned()
         if not shards:
--- a/lentilroad/request/chat.py
+++ b/lentilroad/request/chat.py
@@ -89,7 +89,7 @@
     program = program_id(request)
     turn = m.RunTurnRequest(
         caller_id=caller_id,
-        program_id=program or context.new_program_id(),
+        program_id=program or context.new_program_id(None),
         idempotency_key=idempotency_key(request),
         kind="chat",
         single_turn=program is None,
--- a/lentilroad/request/context.py
+++ b/lentilroad/request/context.py
@@ -29,7 +29,8 @@
 class FrontContext:
     """Functions and objects with process lifetime that requests need.
 
-    ``admit_request(caller_id, tokens)`` raises `RateLimitedError`. The four program
+    ``admit_request(caller_id, tokens)`` raises `RateLimitedError`.
+    ``new_program_id(parent)`` returns an id in the parent's shard. The four program
     functions send their message to the program's current owner.
     """
 
@@ -40,7 +41,7 @@
     list_models: Callable[[], list[str]]
     has_operation: Callable[[str, str], bool]
     admit_request: Callable[[str, int], None]
-    new_program_id: Callable[[], str]
+    new_program_id: Callable[[str | None], str]
     new_key: Callable[[], str]
     open_program: Callable[[m.OpenProgramRequest], Awaitable[m.OpenProgramReply]]
     end_program: Callable[[m.EndProgramRequest], Awaitable[m.EndProgramReply]]
--- a/lentilroad/request/programs.py
+++ b/lentilroad/request/programs.py
@@ -24,9 +24,6 @@
 from lentilroad.wire import messages as m
 from lentilroad.wire.convert import from_wire_error
 
-# Characters that mark a sub-agent's id, so that it keeps its root's shard.
-SUB_AGENT_SEPARATOR = "."
-
 
 async def open_program(request: web.Request) -> web.Response:
     """Open a program or a sub-agent of one."""
@@ -34,9 +31,8 @@
     caller_id = authenticate(request)
     body = parse_body(await read_body(request), OpenProgramBody)
     context.admit_request(caller_id, 0)
-    new_id = context.new_program_id()
-    if body.parent_program_id is not None:
-        new_id = f"{body.parent_program_id}{SUB_AGENT_SEPARATOR}{context.new_key()[:8]}"
+    # A sub-agent is in its root's shard, so that one owner counts their budget.
+    new_id = context.new_program_id(body.parent_program_id)
     deadline_s = None
     if body.deadline_ms is not None:
         if body.deadline_ms <= 0:
@@ -107,7 +103,7 @@
     with context.tracing.span("front service", traceparent) as next_traceparent:
         turn = m.RunTurnRequest(
             caller_id=caller_id,
-            program_id=program or context.new_program_id(),
+            program_id=program or context.new_program_id(None),
             idempotency_key=idempotency_key(request),
             kind="service",
             single_turn=program is None,
--- a/tests/fakes/front.py
+++ b/tests/fakes/front.py
@@ -88,7 +88,7 @@
             (service, operation) == ("floors", "book")
         ),
         admit_request=owner.admit,
-        new_program_id=lambda: f"p-dakar-0001-{next(numbers)}",
+        new_program_id=lambda parent: f"{parent or 'p-dakar-0001'}-{next(numbers)}",
         new_key=lambda: f"key{next(numbers):08d}",
         open_program=owner.open_program,
         end_program=owner.end_program,
