Add shard succession, SWIM-like probes and the map store

The thin table only read the map. Records now change by the rule of the design page: the proposer and one more of the three named entries agree, planned and two-entry changes go through CAS, records of one membership change are written back together. Connections count calls that time out one after another as one silence; before, each new call restarted the count.

--- a/lentilroad/connection/peers.py
+++ b/lentilroad/connection/peers.py
@@ -48,6 +48,9 @@
     address: str
     channel: Channel
     last_heard_s: float
+    # Start of the oldest call after which nothing was heard; calls that time out one
+    # after another on a silent connection count as one silence.
+    waiting_since_s: float | None = None
     open_calls: int = 0
     closed: bool = False
     protocol: H2Protocol | None = None
@@ -139,7 +142,7 @@
         except _CALL_ERRORS as error:
             raise from_exception(error, address=address, request_sent=sent) from error
         finally:
-            peer.open_calls -= 1
+            self._end(peer)
 
     async def stream(
         self, address: str, method: Method, request: Any, timeout_s: float | None
@@ -163,7 +166,7 @@
         except _CALL_ERRORS as error:
             raise from_exception(error, address=address, request_sent=sent) from error
         finally:
-            peer.open_calls -= 1
+            self._end(peer)
 
     async def close(self) -> None:
         """Close all connections; open calls fail with `UnavailableError`."""
@@ -179,12 +182,17 @@
         peer = self._peers.get(address)
         if peer is None:
             peer = self._open(address)
-        if peer.open_calls == 0:
-            peer.last_heard_s = self._clock.monotonic_s()
+        if peer.waiting_since_s is None:
+            peer.waiting_since_s = self._clock.monotonic_s()
             peer.active.set()
         peer.open_calls += 1
         return peer
 
+    def _end(self, peer: _Peer) -> None:
+        peer.open_calls -= 1
+        if peer.open_calls == 0 and not _unheard(peer):
+            peer.waiting_since_s = None
+
     def _open(self, address: str) -> _Peer:
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
@@ -237,7 +245,7 @@
 
     async def _watch(self, peer: _Peer) -> None:
         while not peer.closed:
-            if peer.open_calls == 0:
+            if peer.open_calls == 0 and peer.waiting_since_s is None:
                 peer.active.clear()
                 if not await self._wait_active(peer):
                     self._drop(peer)
@@ -265,16 +273,23 @@
         now_s = self._clock.monotonic_s()
         if now_s - before_s > HEARTBEAT_INTERVAL_S + STALL_TOLERANCE_S:
             peer.last_heard_s = now_s
-        if peer.open_calls == 0 or not peer.connected():
+        if peer.waiting_since_s is None:
+            return False
+        if not peer.connected():
+            if peer.open_calls == 0:
+                peer.waiting_since_s = None
             return False
-        if now_s - peer.last_heard_s < HEARTBEAT_INTERVAL_S:
+        if now_s - _silent_since_s(peer) < HEARTBEAT_INTERVAL_S:
             return False
-        return not await self._ping(peer)
+        heard = await self._ping(peer)
+        if heard and peer.open_calls == 0:
+            peer.waiting_since_s = None
+        return not heard
 
     async def _ping(self, peer: _Peer) -> bool:
         """Return whether the peer was heard in time."""
         now_s = self._clock.monotonic_s()
-        due_s = peer.last_heard_s + PEER_SILENT_AFTER_S
+        due_s = _silent_since_s(peer) + PEER_SILENT_AFTER_S
         stream = self._request(
             peer, HEALTH_PING, max(due_s - now_s, 0.001), Cardinality.UNARY_UNARY
         )
@@ -288,7 +303,7 @@
                 now_s = self._clock.monotonic_s()
                 if now_s - due_s > STALL_TOLERANCE_S:
                     peer.last_heard_s = now_s
-                return now_s < peer.last_heard_s + PEER_SILENT_AFTER_S
+                return now_s < _silent_since_s(peer) + PEER_SILENT_AFTER_S
         peer.last_heard_s = self._clock.monotonic_s()
         return True
 
@@ -303,3 +318,12 @@
         peer.channel.close()
         if transport is not None:
             transport.abort()
+
+
+def _silent_since_s(peer: _Peer) -> float:
+    return max(peer.last_heard_s, peer.waiting_since_s or 0.0)
+
+
+def _unheard(peer: _Peer) -> bool:
+    waiting_since_s = peer.waiting_since_s
+    return waiting_since_s is not None and peer.last_heard_s < waiting_since_s
--- a/lentilroad/membership/const.py
+++ b/lentilroad/membership/const.py
@@ -18,3 +18,48 @@
 PIGGYBACK_RECORDS = 16
 # Each update is sent this many times per factor of ten of the group's size.
 PIGGYBACK_REPEATS = 4
+
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.5
+CROSS_REGION_PROBE_INTERVAL_S = 1.0
+INDIRECT_PROBES = 2
+SUSPICION_S = 1.5
+# Long enough that stale gossip about a dead entry cannot bring it back.
+DEAD_PEER_RETENTION_S = 600.0
+# Dead entries and seeds are probed so that two halves of a split group rejoin.
+REJOIN_INTERVAL_S = 5.0
+# Rotating records in each probe repair updates that gossip lost.
+ROTATING_PEERS = 2
+ROTATING_SIDECARS = 2
+# Entries of a region that exchange updates with other regions, and that watch the
+# shard map.
+REGION_LINK_ENTRIES = 2
+WATCH_ENTRIES = 2
+
+SUCCESSION_TICK_S = 0.25
+# A second connection to a silent owner, before it counts as dead: its heartbeats
+# may be lost on one connection that went silent.
+OWNER_PROBE_AFTER_S = 1.0
+PAIR_CALL_TIMEOUT_S = 0.4
+GRANT_TIMEOUT_S = 0.4
+# Time that the probes have called an arbiter dead before it is replaced.
+ARBITER_LOST_AFTER_S = 1.0
+CONCURRENT_GRANTS = 32
+HEARTBEAT_EPOCHS = 32
+HEARTBEAT_RECORDS = 64
+# A gap between two ticks beyond this means that this process was paused.
+PAUSE_GAP_S = 1.0
+# Shards whose pair is lost are assigned anew after this time; see
+# docs/operations-membership.md.
+RECOVERY_AFTER_S = 10.0
+# Epochs of a recovery stay clear of those that cut-off entries may still grant.
+RECOVERY_EPOCH_STEP = 1000
+# A sole owner that was paused this long checks that it was not replaced.
+SOLE_OWNER_PAUSE_S = 5.0
+
+MAP_WATCH_TIMEOUT_S = 30.0
+MAP_RETRY_S = 5.0
+WRITE_BACK_MIN_S = 0.2
+WRITE_BACK_MAX_S = 1.0
+REBALANCE_INTERVAL_S = 1.0
+REBALANCE_AFTER_S = 5.0
--- /dev/null
+++ b/lentilroad/membership/succession.py
@@ -0,0 +1,403 @@
+"""Takeover of shards, and replacement of silent standbys and arbiters."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import eliot
+
+from lentilroad.clock import Clock
+from lentilroad.const import PEER_SILENT_AFTER_S
+from lentilroad.errors import LentilroadError
+from lentilroad.membership.const import (
+    ARBITER_LOST_AFTER_S,
+    CONCURRENT_GRANTS,
+    GRANT_TIMEOUT_S,
+    OWNER_PROBE_AFTER_S,
+    RECOVERY_AFTER_S,
+    RECOVERY_EPOCH_STEP,
+)
+from lentilroad.membership.members import Call, Members
+from lentilroad.membership.pairs import PairHeartbeats
+from lentilroad.membership.placement import choose, desired_record, make_record
+from lentilroad.membership.program_id import parse_shard
+from lentilroad.membership.shard_state import Promise, ShardRecords, ShardState
+from lentilroad.wire.messages import GrantReply, GrantRequest, ShardRecord
+from lentilroad.wire.services import GRANT
+
+
+class MapChanges(Protocol):
+    """Where records go that only the key-value service can decide."""
+
+    def propose(self, shard: str, base: ShardRecord, record: ShardRecord) -> None:
+        """Replace the record after `base` by CAS, as soon as possible."""
+        ...
+
+    def withdraw(self, shard: str, *, owner: str, standby: str) -> None:
+        """Give up a waiting proposal for this pair."""
+        ...
+
+
+class Succession:
+    """Changes of the records that name this entry."""
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        records: ShardRecords,
+        pairs: PairHeartbeats,
+        members: Members,
+        call: Call,
+        clock: Clock,
+        map_changes: MapChanges,
+    ) -> None:
+        self._region = region
+        self._records = records
+        self._pairs = pairs
+        self._members = members
+        self._call = call
+        self._clock = clock
+        self._map_changes = map_changes
+        self._slots = asyncio.Semaphore(CONCURRENT_GRANTS)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._orphaned_s: dict[str, float] = {}
+
+    def tick(self) -> None:
+        """Start whatever the silence of other entries requires."""
+        for state in self._records.owned():
+            self._tick_owned(state)
+        for state in self._records.standing_by():
+            self._tick_standing_by(state)
+
+    def heartbeat(self) -> None:
+        """Send heartbeats to standbys, and records to owners that may lack them."""
+        partners: dict[str, list[ShardState]] = {}
+        for state in self._records.owned():
+            if state.record.standby:
+                partners.setdefault(state.record.standby, []).append(state)
+        for state in self._records.standing_by():
+            if not state.confirmed:
+                partners.setdefault(state.record.owner, []).append(state)
+        for address, shards in partners.items():
+            self._pairs.send(address, shards)
+
+    def restart_timers(self) -> None:
+        """Count the loss of pairs from now on, after this process was paused."""
+        self._orphaned_s.clear()
+
+    async def close(self) -> None:
+        """Stop the changes under way."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _tick_owned(self, state: ShardState) -> None:
+        record = state.record
+        if not record.standby:
+            if self._entries(taken=[record.owner]):
+                self._extend(state)
+            return
+        if not self._standby_lost(state):
+            self._map_changes.withdraw(state.name, owner=record.owner, standby="")
+            if not record.arbiter or self._gone(
+                record.arbiter, record.arbiter_started_ms, for_s=ARBITER_LOST_AFTER_S
+            ):
+                self._start(state, self._replace_arbiter)
+            return
+        if record.arbiter:
+            self._start(state, self._replace_standby)
+        else:
+            self._propose_to_map(state, owner=record.owner, standby="")
+
+    def _tick_standing_by(self, state: ShardState) -> None:
+        record = state.record
+        silent_s = self._pairs.silent_s(record.owner, since_s=state.learned_s)
+        restarted = self._pairs.restarted(record.owner, record.owner_started_ms)
+        if not restarted:
+            if silent_s < OWNER_PROBE_AFTER_S:
+                self._map_changes.withdraw(
+                    state.name, owner=self._records.address, standby=""
+                )
+                return
+            self._pairs.send(record.owner, [state])
+            refused = self._pairs.refused(record.owner)
+            if silent_s < PEER_SILENT_AFTER_S and not refused:
+                return
+        if not state.activated:
+            return
+        if record.arbiter:
+            self._start(state, self._take_over)
+        else:
+            self._propose_to_map(state, owner=self._records.address, standby="")
+
+    def _standby_lost(self, state: ShardState) -> bool:
+        record = state.record
+        if self._pairs.restarted(record.standby, record.standby_started_ms):
+            return True
+        silent_s = self._pairs.silent_s(record.standby, since_s=state.learned_s)
+        return silent_s >= PEER_SILENT_AFTER_S
+
+    def _start(self, state: ShardState, change: Callable[[ShardState], object]) -> None:
+        task = self._tasks.get(state.name)
+        if task is not None and not task.done():
+            return
+        self._tasks[state.name] = asyncio.ensure_future(self._run_change(state, change))
+
+    async def _run_change(self, state: ShardState, change: Callable) -> None:
+        async with self._slots:
+            await change(state)
+        self._tasks.pop(state.name, None)
+
+    async def _take_over(self, state: ShardState) -> None:
+        base = state.record
+        if not self._records.stands_by(base):
+            return
+        decided = await self._propose(
+            state,
+            owner=self._records.address,
+            standby=base.arbiter,
+            granter=base.arbiter,
+        )
+        if decided:
+            eliot.log_message(
+                message_type="membership:takeover",
+                shard=state.name,
+                epoch=state.record.epoch,
+                silent_owner=base.owner,
+            )
+            self._pairs.send(state.record.standby, [state])
+
+    async def _replace_standby(self, state: ShardState) -> None:
+        base = state.record
+        if not self._records.owns(base):
+            return
+        await self._propose(
+            state, owner=base.owner, standby=base.arbiter, granter=base.arbiter
+        )
+
+    async def _replace_arbiter(self, state: ShardState) -> None:
+        base = state.record
+        if not self._records.owns(base):
+            return
+        arbiter = self._choose_arbiter(
+            state.name, [base.owner, base.standby], lost=base.arbiter
+        )
+        if not arbiter:
+            return
+        if not base.arbiter:
+            self._propose_to_map(state, owner=base.owner, standby=base.standby)
+            return
+        await self._propose(
+            state, owner=base.owner, standby=base.standby, granter=base.standby
+        )
+
+    async def _propose(
+        self, state: ShardState, *, owner: str, standby: str, granter: str
+    ) -> bool:
+        """Ask one entry of the record in force for the next one."""
+        base = state.record
+        record = self._next_record(state, owner=owner, standby=standby)
+        if record is None:
+            return False
+        return await self.decide(state, base, record, granter)
+
+    async def decide(
+        self, state: ShardState, base: ShardRecord, record: ShardRecord, granter: str
+    ) -> bool:
+        """Promise a record to oneself, ask `granter`, and put it in force."""
+        promise = state.promise
+        if promise is None or promise.record != record:
+            promise = Promise(record=record, proposer=self._records.address)
+            state.promise = promise
+        request = GrantRequest(
+            shard=state.name,
+            record=record,
+            base=base,
+            proposer=self._records.address,
+        )
+        try:
+            reply = await self._call(granter, GRANT, request, GRANT_TIMEOUT_S)
+        except LentilroadError:
+            return False
+        if state.record is not base or state.promise is not promise:
+            return False
+        if not reply.granted:
+            self._refused(state, reply)
+            return False
+        self._records.decide(state.name, record)
+        return True
+
+    def _refused(self, state: ShardState, reply: GrantReply) -> None:
+        state.promise = None
+        if reply.in_force and reply.highest is not None:
+            self._records.learn(state.name, reply.highest)
+
+    def _next_record(
+        self, state: ShardState, *, owner: str, standby: str
+    ) -> ShardRecord | None:
+        """Return the record to propose; an unanswered proposal is sent again."""
+        epoch = state.record.epoch
+        promise = state.promise
+        if promise is not None:
+            if promise.proposer != self._records.address:
+                return None
+            if (promise.record.owner, promise.record.standby) == (owner, standby):
+                return promise.record
+            epoch = promise.record.epoch
+        base = state.record
+        lost = base.owner if owner != base.owner else base.standby
+        if standby == base.standby:
+            lost = base.arbiter
+        arbiter = self._choose_arbiter(state.name, [owner, standby], lost=lost)
+        record = make_record(
+            epoch=epoch + 1,
+            owner=owner,
+            standby=standby,
+            arbiter=arbiter,
+            peer_of=self._members.peer,
+        )
+        self._keep_starts(record, base)
+        return record
+
+    def _keep_starts(self, record: ShardRecord, base: ShardRecord) -> None:
+        """Name the same processes as `base`, and not their successors."""
+        starts = {
+            base.arbiter: base.arbiter_started_ms,
+            base.standby: base.standby_started_ms,
+            base.owner: base.owner_started_ms,
+            self._records.address: self._records.started_ms,
+        }
+        record.owner_started_ms = starts.get(record.owner, record.owner_started_ms)
+        record.standby_started_ms = starts.get(
+            record.standby, record.standby_started_ms
+        )
+
+    def _choose_arbiter(self, shard: str, pair: list[str], *, lost: str) -> str:
+        if not pair[1]:
+            return ""
+        entries = [e for e in self._entries(taken=pair) if e != lost]
+        far = [e for e in self._far_entries() if e != lost]
+        return choose(
+            shard, entries, taken=pair, peer_of=self._members.peer, far_entries=far
+        )
+
+    def _entries(self, *, taken: list[str]) -> list[str]:
+        alive = self._members.alive_entries(self._region)
+        return [address for address in alive if address not in taken]
+
+    def _far_entries(self) -> list[str]:
+        return [
+            address
+            for region in self._members.regions()
+            if region != self._region
+            for address in self._members.alive_entries(region)
+        ]
+
+    def _extend(self, state: ShardState) -> None:
+        """Name a standby for a sole owner."""
+        entries = self._entries(taken=[state.record.owner])
+        standby = choose(
+            state.name,
+            entries,
+            taken=[state.record.owner],
+            peer_of=self._members.peer,
+        )
+        self._propose_to_map(state, owner=state.record.owner, standby=standby)
+
+    def _propose_to_map(self, state: ShardState, *, owner: str, standby: str) -> None:
+        record = make_record(
+            epoch=self._records.highest_epoch(state.name) + 1,
+            owner=owner,
+            standby=standby,
+            arbiter=self._choose_arbiter(state.name, [owner, standby], lost=""),
+            peer_of=self._members.peer,
+        )
+        self._keep_starts(record, state.record)
+        record.from_sole_owner = state.record.standby == "" and standby != ""
+        self._map_changes.propose(state.name, state.record, record)
+
+    def recover(self) -> None:
+        """Assign shards anew whose pair was lost; needs the key-value service."""
+        for shard, state in self._records.states.items():
+            if parse_shard(shard)[0] == self._region:
+                self._recover_one(state)
+
+    def _recover_one(self, state: ShardState) -> None:
+        record = state.record
+        if self._recoverer(state) != self._records.address:
+            self._orphaned_s.pop(state.name, None)
+            return
+        now_s = self._clock.monotonic_s()
+        since_s = self._orphaned_s.setdefault(state.name, now_s)
+        # A process that has restarted is known to have lost its copies.
+        certain = self._all_restarted(record)
+        if now_s - since_s < RECOVERY_AFTER_S and not certain:
+            return
+        fresh = desired_record(
+            state.name,
+            self._entries(taken=[self._records.address]),
+            epoch=0,
+            peer_of=self._members.peer,
+            far_entries=self._far_entries(),
+        )
+        recovered = make_record(
+            epoch=self._records.highest_epoch(state.name) + RECOVERY_EPOCH_STEP,
+            owner=self._records.address,
+            standby=fresh.owner,
+            arbiter=fresh.standby or (fresh.owner and fresh.arbiter),
+            peer_of=self._members.peer,
+        )
+        eliot.log_message(
+            message_type="membership:shard_recovery",
+            shard=state.name,
+            epoch=recovered.epoch,
+        )
+        self._map_changes.propose(state.name, record, recovered)
+
+    def _recoverer(self, state: ShardState) -> str:
+        """Return who assigns a shard anew, or "" while its record still works."""
+        record = state.record
+        owner_gone = self._gone(record.owner, record.owner_started_ms)
+        standby_gone = self._gone(record.standby, record.standby_started_ms)
+        if not owner_gone:
+            arbiter_gone = self._gone(record.arbiter, record.arbiter_started_ms)
+            blocked = record.standby and standby_gone and arbiter_gone
+            return record.owner if blocked else ""
+        if not standby_gone:
+            return record.standby
+        entries = self._members.alive_entries(self._region)
+        return desired_record(
+            state.name, entries, epoch=0, peer_of=self._members.peer
+        ).owner
+
+    def _all_restarted(self, record: ShardRecord) -> bool:
+        named = [
+            (record.owner, record.owner_started_ms),
+            (record.standby, record.standby_started_ms),
+        ]
+        return all(
+            not address or self._restarted(address, started_ms)
+            for address, started_ms in named
+        )
+
+    def _restarted(self, address: str, started_ms: int) -> bool:
+        if self._pairs.restarted(address, started_ms):
+            return True
+        peer = self._members.peer(address)
+        return peer is not None and peer.started_ms > started_ms > 0
+
+    def _gone(
+        self, address: str, started_ms: int, *, for_s: float = RECOVERY_AFTER_S
+    ) -> bool:
+        """Return whether a named process has ended as far as this entry knows."""
+        if not address:
+            return True
+        if self._records.is_me(address, started_ms):
+            return False
+        if self._restarted(address, started_ms):
+            return True
+        return self._members.dead_for_s(address) > for_s
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -403,6 +403,9 @@
     owner_started_ms: int = 0
     standby_started_ms: int = 0
     arbiter_started_ms: int = 0
+    # The owner had no standby before and may not know this record yet; the standby
+    # takes over only after the owner's first message under it.
+    from_sole_owner: bool = False
 
 
 class ShardMap(Message):
@@ -417,12 +420,17 @@
     """Ask a peer for its shard map of a region."""
 
     region: str
+    # Only records that changed after this revision; 0 asks for the whole map.
+    after_revision: int = 0
 
 
 class PullShardMapReply(Message):
     """Answer to `PullShardMapRequest`."""
 
     shard_map: ShardMap | None = None
+    # Changed records and the revision they lead to, when `after_revision` was set.
+    changes: dict[str, ShardRecord] = {}
+    revision: int = 0
 
 
 class GrantRequest(Message):
@@ -441,6 +449,8 @@
 
     granted: bool
     highest: ShardRecord | None = None
+    # `highest` is in force, and not only granted to another entry.
+    in_force: bool = False
 
 
 class PairHeartbeat(Message):
@@ -448,8 +458,11 @@
 
     sender: str
     incarnation: int
-    # Highest epoch of each shared shard as the sender knows it.
+    # Highest epoch of each shared shard as the sender knows it; a bounded part of
+    # the shards in each message.
     epochs: dict[str, int] = {}
+    # Records in force that the receiver may lack.
+    records: dict[str, ShardRecord] = {}
 
 
 class ReplicateRequest(Message):
