--- /dev/null
+++ b/lentilroad/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: both shipped deployments as separate processes on loopback."""
--- a/lentilroad/load/client.py
+++ b/lentilroad/load/client.py
@@ -37,6 +37,15 @@
     """A request ended in an error that no retry can mend."""
 
 
+def _note_lost_connection(
+    result: ProgramResult, base_url: str, error: Exception
+) -> None:
+    result.retries += 1
+    # A refused connection interrupts nothing: the request was not accepted.
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        result.lost_connections.append(base_url)
+
+
 @dataclass(slots=True, kw_only=True)
 class LoadClient:
     """Connection to one or more entries, as a balancer would spread it.
@@ -65,8 +74,8 @@
     random_source: random.Random
     expected_answer: Callable[[str, list[tuple[str, str]], int], str] | None = None
 
-    def _url(self, path: str) -> str:
-        return self.random_source.choice(self.base_urls) + path
+    def _base_url(self) -> str:
+        return self.random_source.choice(self.base_urls)
 
     def _headers(self, extra: dict[str, str]) -> dict[str, str]:
         return {"Authorization": f"Bearer {self.key}", **extra}
@@ -87,17 +96,18 @@
         """
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         for _ in range(MAX_TRIES):
+            base_url = self._base_url()
             try:
                 async with self.session.post(
-                    self._url(path),
+                    base_url + path,
                     data=msgspec.json.encode(body),
                     headers=self._headers(headers),
                     timeout=timeout,
                 ) as response:
                     data = await response.read()
                     status = response.status
-            except CONNECTION_ERRORS:
-                result.retries += 1
+            except CONNECTION_ERRORS as error:
+                _note_lost_connection(result, base_url, error)
                 await self._pause(None)
                 continue
             if status < 400:
@@ -140,6 +150,7 @@
             body["budget"] = {"tokens": program.budget_tokens}
         opened = msgspec.json.decode(await self.post("/v1/programs", body, {}, result))
         result.program_id = opened["program_id"]
+        result.program_ids.append(result.program_id)
         for number, step in enumerate(program.steps):
             if isinstance(step, Turn):
                 await self._run_turn(program, step, number, result)
@@ -169,6 +180,9 @@
             result.problems += child.problems
             result.confirmed_references += child.confirmed_references
             result.first_token_s += child.first_token_s
+            result.lost_connections += child.lost_connections
+            result.new_prompts += child.new_prompts
+            result.program_ids += child.program_ids
 
     async def _run_operation(self, step: Operation, result: ProgramResult) -> None:
         await self.clock.sleep(step.pause_s)
@@ -203,6 +217,7 @@
         }
         text = await self._stream(body, headers, result)
         result.turns += 1
+        result.new_prompts.append(step.prompt)
         if self.expected_answer is not None:
             expected = self.expected_answer(
                 program.model, result.conversation, step.max_tokens
@@ -223,9 +238,10 @@
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         for _ in range(MAX_TRIES):
             resume = {HEADER_RESUME_OFFSET: str(len(text))}
+            base_url = self._base_url()
             try:
                 async with self.session.post(
-                    self._url("/v1/chat/completions"),
+                    base_url + "/v1/chat/completions",
                     data=msgspec.json.encode(body),
                     headers=self._headers({**headers, **resume}),
                     timeout=timeout,
@@ -243,9 +259,8 @@
                         if piece and first_token_s is None:
                             first_token_s = self.clock.monotonic_s() - started_s
                         text += piece
-            except CONNECTION_ERRORS:
-                pass
-            result.retries += 1
+            except CONNECTION_ERRORS as error:
+                _note_lost_connection(result, base_url, error)
             await self._pause(None)
         raise ProgramFailed(f"a turn was not answered after {MAX_TRIES} tries")
 
@@ -275,7 +290,7 @@
         for _ in range(MAX_TRIES):
             try:
                 async with self.session.get(
-                    self._url(path), headers=self._headers({}), timeout=timeout
+                    self._base_url() + path, headers=self._headers({}), timeout=timeout
                 ) as response:
                     data = await response.read()
                     status = response.status
@@ -286,6 +301,11 @@
                 await self._handle_error(data, result)
                 continue
             program = msgspec.json.decode(data)
+            spent = program.get("spent", {})
+            result.budget_tokens = program.get("budget", {}).get("tokens") or 0
+            result.spent_tokens = spent.get("prompt_tokens", 0) + spent.get(
+                "completion_tokens", 0
+            )
             stored = [
                 (message["role"], message["content"])
                 for message in program.get("history", [])
--- a/lentilroad/load/results.py
+++ b/lentilroad/load/results.py
@@ -29,6 +29,13 @@
     # References of operations that were refused as not run and not repeated.
     not_run_references: list[str] = field(default_factory=list)
     first_token_s: list[float] = field(default_factory=list)
+    # Base URLs of entries that broke a request which they had accepted.
+    lost_connections: list[str] = field(default_factory=list)
+    budget_tokens: int = 0
+    spent_tokens: int = 0
+    # Prompt tokens that no earlier turn of the program had.
+    new_prompts: list[str] = field(default_factory=list)
+    program_ids: list[str] = field(default_factory=list)
 
 
 def percentile(values: list[float], fraction: float) -> float:
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -18,12 +18,10 @@
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import PeerServer, start_server
 from lentilroad.errors import UnavailableError
-from lentilroad.membership.const import SHARD_COUNT
 from lentilroad.membership.members import Members
 from lentilroad.membership.program_id import (
     new_program_id,
     parse_shard,
-    shard_name,
     shard_of,
 )
 from lentilroad.membership.shards import ShardTable
@@ -52,6 +50,9 @@
 SHUTDOWN_TIMEOUT_S = 60.0
 # The balancer and the other entries notice a draining entry within this time.
 ANNOUNCE_DRAIN_S = 1.0
+# Shards that no other entry takes within this time are left to the succession.
+HAND_OVER_TIMEOUT_S = 30.0
+HAND_OVER_POLL_S = 0.1
 
 
 class Entry:
@@ -116,7 +117,9 @@
             random=self.random,
             on_gained=lambda shard, record: self.owner.on_gained(shard, record),
             on_lost=lambda shard: self.owner.on_lost(shard),
+            copy_shard=self._copy_shard,
         )
+        self.members.extend(self._fill_probe, self._read_probe)
 
     def _build_configuration(self) -> None:
         settings = self.settings
@@ -139,11 +142,14 @@
             live_entries=lambda: len(self.members.peers()),
         )
         self.distribution.on_change(self.admission.on_configuration)
+        self.distribution.on_change(
+            lambda version: self.members.set_config_version(version.version)
+        )
 
     def _build_owner(self) -> None:
         settings = self.settings
         retry_budget = RetryBudget(clock=self.clock)
-        choice = UpstreamChoice(
+        self.choice = UpstreamChoice(
             router=Router(
                 clock=self.clock,
                 random=self.random,
@@ -165,14 +171,14 @@
             standby=self.standby,
             call=self.connections.call,
             stream=self.connections.stream,
-            choose_upstream=choice.choose,
+            choose_upstream=self.choice.choose,
             shard_of=shard_of,
             clock=self.clock,
             random=self.random,
             policy_of=self._policy_of,
             may_retry=retry_budget.try_spend,
             note_success=retry_budget.succeeded,
-            note_in_flight=choice.note_in_flight,
+            note_in_flight=self.choice.note_in_flight,
         )
         self.owner_calls = OwnerCalls(
             address=settings.address,
@@ -183,6 +189,32 @@
             clock=self.clock,
         )
 
+    # Connections between the modules
+
+    def _fill_probe(
+        self, message: m.PingRequest | m.PingReply, everything: bool
+    ) -> None:
+        records = self.directory.records if everything else self.directory.take_updates
+        message.sidecars = records()
+
+    def _read_probe(self, sender: str, message: m.PingRequest | m.PingReply) -> None:
+        self.directory.learn(message.sidecars)
+        for peer in message.peers:
+            self.distribution.note_peer_version(peer.address, peer.config_version)
+
+    async def _replicate(self, request: m.ReplicateRequest) -> m.ReplicateReply:
+        # The shard table also knows of grants that are not in force yet.
+        table = self.shard_table
+        if not table.accepts(request.shard, request.epoch, request.owner):
+            highest_epoch = table.highest_epoch(request.shard)
+            return m.ReplicateReply(accepted=False, highest_epoch=highest_epoch)
+        return await self.standby.replicate(request)
+
+    async def _copy_shard(self, shard: str, record: m.ShardRecord, final: bool) -> bool:
+        """Allow planned moves whose new owner already holds a copy."""
+        holders = (self.settings.address, self.shard_table.record(shard).standby)
+        return record.owner in holders
+
     # Views of the configuration and the membership
 
     def _region_peers(self) -> list[str]:
@@ -260,13 +292,7 @@
         return new_program_id(self.settings.region, shard, self.random)
 
     def _shards_served(self) -> list[str]:
-        region = self.settings.region
-        shards = [shard_name(region, index) for index in range(SHARD_COUNT)]
-        try:
-            self.shard_table.record(shards[0])
-        except UnavailableError:
-            return []
-        return shards
+        return self.shard_table.shards(self.settings.region)
 
     # Start and stop
 
@@ -298,7 +324,7 @@
             services.END_PROGRAM: self.owner.end_program,
             services.READ_PROGRAM: self.owner.read_program,
             services.RUN_TURN: self.owner.run_turn,
-            services.REPLICATE: self.standby.replicate,
+            services.REPLICATE: self._replicate,
             services.GRANT: self.shard_table.grant,
             services.PAIR_HEARTBEAT: self.shard_table.pair_heartbeat,
             services.PING: self.members.ping,
@@ -348,9 +374,22 @@
             return
         self.draining = True
         eliot.log_message(message_type="entry:draining", address=self.settings.address)
+        self.members.drain()
         await self.clock.sleep(ANNOUNCE_DRAIN_S)
+        await self._wait_handed_over()
         await self.owner.drain()
 
+    async def _wait_handed_over(self) -> None:
+        give_up_s = self.clock.monotonic_s() + HAND_OVER_TIMEOUT_S
+        while self.shard_table.shards_owned():
+            if self.clock.monotonic_s() >= give_up_s:
+                eliot.log_message(
+                    message_type="entry:shards_left",
+                    shards=len(self.shard_table.shards_owned()),
+                )
+                return
+            await self.clock.sleep(HAND_OVER_POLL_S)
+
     async def close(self) -> None:
         """Stop, after the open requests of callers have ended."""
         if self._http is not None:
--- a/lentilroad/process/operator_http.py
+++ b/lentilroad/process/operator_http.py
@@ -78,5 +78,6 @@
         "entries": entry.members.peers(),
         "sidecars": entry.directory.records(),
         "sidecar_versions": entry.directory.config_versions(),
+        "cross_region_bytes": entry.choice.cross_region_bytes,
         "key_value_calls": entry.key_value.counts,
     }
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -210,6 +210,10 @@
         if reply.missing_program_ids:
             self._copied -= set(reply.missing_program_ids)
             return
+        if reply.highest_epoch <= epoch:
+            # The standby has not learned of this epoch yet.
+            await self._clock.sleep(const.REPLICATE_RETRY_S)
+            return
         self._refused(epoch, reply.highest_epoch)
 
     def _refused(self, epoch: int, highest_epoch: int) -> None:
--- a/lentilroad/request/upstream_choice.py
+++ b/lentilroad/request/upstream_choice.py
@@ -46,6 +46,7 @@
         "_regions",
         "_router",
         "_seen",
+        "cross_region_bytes",
     )
 
     def __init__(
@@ -68,6 +69,7 @@
         self._seen: dict[str, set[str]] = {}
         self._in_flight: dict[str, deque[str]] = {}
         self._numbers = count()
+        self.cross_region_bytes = 0
 
     def choose(
         self,
@@ -108,6 +110,7 @@
                 f"no upstream takes calls for {name!r} now; try again later",
                 retry_after_ms=NO_UPSTREAM_RETRY_AFTER_MS,
             )
+        self.cross_region_bytes += choice.billed_bytes
         return choice.record
 
     def note_in_flight(self, address: str, change: int) -> None:
