Accept more than 100 concurrent streams on one connection between processes

Cause: h2 allows 100 concurrent streams by default. A benchmark with 90 calls (a Dispatch and an Attach each) to one sidecar got one chunk per call instead of one per token for most calls, because grpclib's client waits until a stream ends. A first burst of more than 100 streams closed the connection with a protocol error.

--- a/lentilroad/connection/server.py
+++ b/lentilroad/connection/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import ssl
+from asyncio import BaseTransport
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 from weakref import WeakSet
@@ -13,8 +14,13 @@
 from grpclib.const import Handler
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
+from h2.settings import SettingCodes
 
-from lentilroad.connection.const import HTTP2_WINDOW_BYTES, SHUTDOWN_GRACE_S
+from lentilroad.connection.const import (
+    CONCURRENT_STREAMS,
+    HTTP2_WINDOW_BYTES,
+    SHUTDOWN_GRACE_S,
+)
 from lentilroad.connection.errors import to_grpc_error
 from lentilroad.errors import LentilroadError, UnavailableError
 from lentilroad.wire.codec import MessagePackCodec
@@ -30,6 +36,24 @@
 _BACKLOG = 512
 
 
+class _ManyStreamsProtocol(H2Protocol):
+    """Protocol that accepts more than h2's default of 100 concurrent streams.
+
+    A client that reaches the limit waits until one of its streams ends, and the
+    streams between processes last as long as calls do.
+    """
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        super().connection_made(transport)
+        h2_connection = self.connection._connection
+        h2_connection.update_settings(
+            {SettingCodes.MAX_CONCURRENT_STREAMS: CONCURRENT_STREAMS}
+        )
+        # The first burst of streams arrives before the client's acknowledgement.
+        h2_connection.local_settings.acknowledge()
+        self.connection.flush()
+
+
 class _TrackingServer(Server):
     """Server that can close its connections; grpclib leaves them open."""
 
@@ -38,7 +62,8 @@
         self._protocols: WeakSet[H2Protocol] = WeakSet()
 
     def _protocol_factory(self) -> H2Protocol:
-        protocol = super()._protocol_factory()
+        made = super()._protocol_factory()
+        protocol = _ManyStreamsProtocol(made.handler, made.config, made.h2_config)
         self._protocols.add(protocol)
         return protocol
 
