Give sidecars the configuration and release engine memory when they leave

Cause: the demonstration found 8 ended programs in the memory of the drained sidecar's engine, sidecars that never reported a configuration version, and entries that kept their shards for 30 s when they drained, because the only entry left in a region cannot name a standby. Change: sidecars run the distribution and release all programs after a drain; a leaving entry hands shards over without a standby and proposes them together. Conclusion: a stall of about 30 s is left to find.

--- a/lentilroad/membership/moves.py
+++ b/lentilroad/membership/moves.py
@@ -52,7 +52,7 @@
         while True:
             await self._clock.sleep(REBALANCE_INTERVAL_S)
             self._note_entries()
-            while self._may_move() and await self._move_next():
+            while self._may_move() and await self._move_some():
                 self._note_entries()
 
     def _note_entries(self) -> None:
@@ -69,15 +69,28 @@
         stable_s = self._clock.monotonic_s() - self._stable_since_s
         return stable_s >= REBALANCE_AFTER_S
 
-    async def _move_next(self) -> bool:
-        """Move the first shard that is out of place; return whether one moved."""
-        for state in self._records.owned():
+    async def _move_some(self) -> bool:
+        """Move shards that are out of place; return whether any moved.
+
+        A pass ends at the first move that fails, so that an entry that does not
+        answer costs one timeout and not one for each shard. Moves that only the
+        key-value service can decide are proposed together and written at once.
+        """
+        moved = False
+        for state in list(self._records.owned()):
+            if not self._may_move():
+                return moved
             if state.frozen:
-                return await self._resume(state)
+                moved |= await self._resume(state)
+                continue
             wanted = self._wanted(state)
-            if wanted is not None:
-                return await self._move(state, wanted)
-        return False
+            if wanted is None:
+                continue
+            if await self._move(state, wanted):
+                moved = True
+            elif not self._store.has_proposal(state.name):
+                return moved
+        return moved
 
     async def _resume(self, state: ShardState) -> bool:
         """Go on with a move whose decision was not answered."""
@@ -103,7 +116,9 @@
         )
         if (wanted.owner, wanted.standby) == (record.owner, record.standby):
             return None
-        if not wanted.standby and record.standby:
+        # A copy is given up only by an entry that leaves; it cannot keep one.
+        is_leaving = self._records.address not in self._entries
+        if not wanted.standby and record.standby and not is_leaving:
             return None
         # A sole owner that stays one is extended, not moved.
         if not record.standby and wanted.owner == record.owner:
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -6,7 +6,8 @@
 import signal
 import ssl
 from collections.abc import Callable, Sequence
-from contextlib import suppress
+from pathlib import Path
+from random import Random
 from typing import Literal
 
 import eliot
@@ -25,6 +26,8 @@
 from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
 from lentilroad.upstream.running import CallLimits
+from lentilroad.version.distribution import Distribution
+from lentilroad.version.model import ConfigurationVersion
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
 
 _ANNOUNCE_DRAIN_S = 0.2
@@ -40,7 +43,8 @@
         server: PeerServer,
         http: web.AppRunner,
         heartbeats: EntryHeartbeats,
-        heartbeat_task: asyncio.Task[None],
+        tasks: Sequence[asyncio.Future[None]],
+        distribution: Distribution,
         connections: PeerConnections,
         upstream: HttpEngine | HttpService,
     ) -> None:
@@ -48,7 +52,8 @@
         self.heartbeats = heartbeats
         self._server = server
         self._http = http
-        self._heartbeat_task = heartbeat_task
+        self.distribution = distribution
+        self._tasks = tasks
         self._connections = connections
         self._upstream = upstream
 
@@ -67,12 +72,13 @@
         self.runner.start_draining()
         self.heartbeats.send_now()
         await self.runner.drained()
+        await self.runner.care.release_all()
 
     async def close(self) -> None:
         """Stop at once."""
-        self._heartbeat_task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._heartbeat_task
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.runner.close()
         await self._server.close(grace_s=_ANNOUNCE_DRAIN_S)
         await self._connections.close()
@@ -97,6 +103,7 @@
     client_ssl_context: ssl.SSLContext | None = None,
     clock: Clock | None = None,
     limits: CallLimits | None = None,
+    data_folder: Path | None = None,
     on_reply: Callable[[str, SidecarHeartbeatReply], None] | None = None,
 ) -> Sidecar:
     """Start a sidecar in the running event loop.
@@ -127,6 +134,8 @@
         Source of time.
     limits : CallLimits, optional
         Times after which calls are given up.
+    data_folder : Path, optional
+        Where the configuration in force is kept over restarts.
     on_reply : callable, optional
         Called with an entry's address and its reply to a heartbeat.
 
@@ -157,16 +166,34 @@
         service=service,
         limits=limits,
     )
-    server = await start_server(runner.handlers(), host, port, server_ssl_context)
+    connections = PeerConnections(clock=clock, ssl_context=client_ssl_context)
+    distribution = Distribution(
+        call=connections.call,
+        clock=clock,
+        random=Random(),
+        peers=lambda: heartbeats.home_entries,
+        data_folder=data_folder,
+    )
+
+    def on_version(version: ConfigurationVersion) -> None:
+        runner.config_version = version.version
+
+    def on_entry_reply(address: str, reply: SidecarHeartbeatReply) -> None:
+        distribution.note_peer_version(address, reply.config_version)
+        if on_reply is not None:
+            on_reply(address, reply)
+
+    distribution.on_change(on_version)
+    handlers = {**runner.handlers(), **distribution.handlers()}
+    server = await start_server(handlers, host, port, server_ssl_context)
     record.address = server.address
     runner.start()
-    connections = PeerConnections(clock=clock, ssl_context=client_ssl_context)
     heartbeats = EntryHeartbeats(
         clock=clock,
         entries=entries,
         call=connections.call,
         report=runner.report,
-        on_reply=on_reply,
+        on_reply=on_entry_reply,
     )
     http = await _start_http(runner, heartbeats, host, http_port)
     eliot.log_message(
@@ -179,7 +206,11 @@
         server=server,
         http=http,
         heartbeats=heartbeats,
-        heartbeat_task=asyncio.ensure_future(heartbeats.run_forever()),
+        tasks=[
+            asyncio.ensure_future(heartbeats.run_forever()),
+            asyncio.ensure_future(distribution.run()),
+        ],
+        distribution=distribution,
         connections=connections,
         upstream=engine or service,
     )
@@ -269,6 +300,7 @@
         host=host,
         port=port,
         http_port=http_port,
+        data_folder=settings.data_folder,
         server_ssl_context=tls.server if tls else None,
         client_ssl_context=tls.client if tls else None,
     )
--- a/lentilroad/upstream/engine_care.py
+++ b/lentilroad/upstream/engine_care.py
@@ -47,6 +47,12 @@
         ):
             self._cancels.discard(call_id)
 
+    async def release_all(self) -> None:
+        """Release every program, when the upstream leaves."""
+        for program_id in list(self.programs.programs):
+            self.programs.forget(program_id)
+        await self.run_once()
+
     def wake(self) -> None:
         """Do the pending work now instead of at the next interval."""
         if self.programs.releasing:
