Confirm planned moves before a drained entry stops

Cause: a drained entry stopped while 41 shards were moved in its own view only; the heartbeat that tells the new owner is dropped while another one is under way, and a frozen shard did not count as owned. The shards were without an owner until recovery. Change: moved shards are announced until the new owner answers; the drain waits for undecided, unconfirmed and unwritten moves.

--- a/lentilroad/demo/evidence.py
+++ b/lentilroad/demo/evidence.py
@@ -84,22 +84,29 @@
 
 
 async def observe_versions(
-    session: aiohttp.ClientSession, entries: list[Instance], evidence: Evidence
+    session: aiohttp.ClientSession, processes: list[Instance], evidence: Evidence
 ) -> None:
-    """Add the versions that entries and their sidecars report now."""
-    statuses = await asyncio.gather(
-        *(read_json(session, f"{one.http_url}/operator/v1/status") for one in entries)
+    """Add the versions that entries and sidecars report now."""
+    await asyncio.gather(
+        *(_observe_version(session, process, evidence) for process in processes)
     )
-    for status in statuses:
-        if status is None:
-            continue
-        reported = {status["address"]: status["configuration"]["version"]}
-        reported |= status["sidecar_versions"]
-        for process, version in reported.items():
-            observation = evidence.versions.setdefault(
-                process, VersionObservation(process=process)
-            )
-            observation.versions.append(version)
+
+
+async def _observe_version(
+    session: aiohttp.ClientSession, process: Instance, evidence: Evidence
+) -> None:
+    path = "/operator/v1/status" if process.kind == "entry" else "/status"
+    status = await read_json(session, process.http_url + path)
+    if status is None:
+        return
+    if process.kind == "entry":
+        version = status["configuration"]["version"]
+    else:
+        version = status["report"].get("config_version", 0)
+    observation = evidence.versions.setdefault(
+        process.name, VersionObservation(process=process.name)
+    )
+    observation.versions.append(version)
 
 
 async def sample_memory(
--- a/lentilroad/demo/scenario.py
+++ b/lentilroad/demo/scenario.py
@@ -247,36 +247,38 @@
     def _live_entries(self, layout: Layout) -> list[Instance]:
         return [e for e in layout.entries if e.name not in self.stopped]
 
+    def _live_processes(self, layout: Layout) -> list[Instance]:
+        return [
+            process
+            for process in [*layout.entries, *layout.sidecars]
+            if process.name not in self.stopped
+        ]
+
     async def _change_configuration(
         self, session: aiohttp.ClientSession, layout: Layout
     ) -> None:
         """Apply a change and measure until every entry and sidecar has it."""
         loop = asyncio.get_running_loop()
         text = self.text.replace("requests_per_s: 400", "requests_per_s: 450")
-        await observe_versions(session, self._live_entries(layout), self.evidence)
+        await observe_versions(session, self._live_processes(layout), self.evidence)
         version = await self._apply(
             layout, text + "\n# Changed by the demonstration.\n", based_on_version=1
         )
         self.evidence.wanted_version = version
         started_s = loop.time()
         while loop.time() - started_s < 2 * const.IN_FORCE_WITHIN_S:
-            await observe_versions(session, self._live_entries(layout), self.evidence)
-            newest = {o.versions[-1] for o in self._live_observations(layout)}
+            await observe_versions(session, self._live_processes(layout), self.evidence)
+            newest = {o.versions[-1] for o in self._live_observations()}
             if newest == {version}:
                 self.evidence.in_force_s = loop.time() - started_s
                 return
             await asyncio.sleep(const.POLL_INTERVAL_S)
 
-    def _live_observations(self, layout: Layout) -> list[VersionObservation]:
-        stopped = {
-            instance.peer_address
-            for instance in layout.all()
-            if instance.name in self.stopped
-        }
+    def _live_observations(self) -> list[VersionObservation]:
         return [
             observation
             for process, observation in self.evidence.versions.items()
-            if process not in stopped
+            if process not in self.stopped
         ]
 
     # Judgement
@@ -292,7 +294,7 @@
         self.evidence.prefilled_tokens = sum(
             state["prefilled_tokens"] for state in states.values()
         )
-        await observe_versions(session, self._live_entries(layout), self.evidence)
+        await observe_versions(session, self._live_processes(layout), self.evidence)
         await self._read_counts(session, layout)
         summary = summarize(self.results)
         summary["wasted_cache_tokens"] = self._recomputed_tokens()
--- a/lentilroad/membership/moves.py
+++ b/lentilroad/membership/moves.py
@@ -44,6 +44,8 @@
         self._pairs = pairs
         self._clock = clock
         self._copy_shard = copy_shard
+        # Moved shards whose new owner has not said that it knows.
+        self._unconfirmed: dict[str, ShardState] = {}
         self._entries: list[str] = []
         self._stable_since_s = clock.monotonic_s()
 
@@ -51,10 +53,29 @@
         """Move one shard at a time until cancelled."""
         while True:
             await self._clock.sleep(REBALANCE_INTERVAL_S)
+            self._announce()
             self._note_entries()
             while self._may_move() and await self._move_some():
                 self._note_entries()
 
+    def unconfirmed(self) -> list[str]:
+        """Return moved shards whose new owner may not know yet that it owns them."""
+        self._unconfirmed = {
+            name: state
+            for name, state in self._unconfirmed.items()
+            if not state.confirmed and not self._records.owns(state.record)
+        }
+        return list(self._unconfirmed)
+
+    def _announce(self) -> None:
+        """Tell new owners of their shards again until they answer."""
+        by_owner: dict[str, list[ShardState]] = {}
+        for name in self.unconfirmed():
+            state = self._unconfirmed[name]
+            by_owner.setdefault(state.record.owner, []).append(state)
+        for address, states in by_owner.items():
+            self._pairs.send(address, states)
+
     def _note_entries(self) -> None:
         entries = self._members.alive_entries(self._region)
         if entries != self._entries:
@@ -163,4 +184,6 @@
             for address in (wanted.owner, wanted.standby):
                 if address and address != self._records.address:
                     self._pairs.send(address, [state])
+            if wanted.owner != self._records.address:
+                self._unconfirmed[state.name] = state
         return decided
--- a/lentilroad/membership/pairs.py
+++ b/lentilroad/membership/pairs.py
@@ -153,6 +153,7 @@
             return
         if sender == state.record.owner:
             self._records.accepts(shard, epoch, sender)
+            state.confirmed |= epoch == state.record.epoch
         elif sender == state.record.standby and epoch == state.record.epoch:
             state.confirmed = True
         promise = state.promise
--- a/lentilroad/membership/shards.py
+++ b/lentilroad/membership/shards.py
@@ -204,6 +204,12 @@
         region_map = self._records.maps.get(region)
         return sorted(region_map.epochs) if region_map else []
 
+    def moving_away(self) -> list[str]:
+        """Return shards whose move to another owner is not complete yet."""
+        undecided = (s.name for s in self._records.owned() if s.frozen)
+        unconfirmed = self._moves.unconfirmed()
+        return sorted({*undecided, *unconfirmed, *self._records.unwritten})
+
     def without_standby(self) -> list[str]:
         """Return owned shards that commit alone, for ``status``."""
         return [s.name for s in self._records.owned() if not s.record.standby]
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -381,7 +381,7 @@
 
     async def _wait_handed_over(self) -> None:
         give_up_s = self.clock.monotonic_s() + HAND_OVER_TIMEOUT_S
-        while self.shard_table.shards_owned():
+        while self.shard_table.shards_owned() or self.shard_table.moving_away():
             if self.clock.monotonic_s() >= give_up_s:
                 eliot.log_message(
                     message_type="entry:shards_left",
--- /dev/null
+++ b/tests/membership/test_moves.py
@@ -0,0 +1,39 @@
+"""Guard planned moves: a drained entry's shards must be served when it stops."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.entries import running_group
+
+HAND_OVER_LIMIT_S = 30.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("entries", [2, 3, 5])
+def test_drained_entry_leaves_no_shard_without_owner(seed, entries):
+    """The new owners must know their shards before the drained entry stops."""
+
+    async def main():
+        async with running_group(seed=seed, entries=entries, shard_count=100) as group:
+            loop = asyncio.get_running_loop()
+            leaving = next(n for n in group.nodes.values() if n.table.shards_owned())
+            leaving.members.drain()
+            give_up_s = loop.time() + HAND_OVER_LIMIT_S
+            while leaving.table.shards_owned() or leaving.table.moving_away():
+                assert loop.time() < give_up_s
+                await asyncio.sleep(0.1)
+            await leaving.kill()
+            served = {
+                shard
+                for node in group.nodes.values()
+                if node.alive
+                for shard in node.table.shards_owned()
+            }
+            assert len(served) == 100
+            group.assert_single_owner()
+
+    run_virtual(main())
