--- /dev/null
+++ b/lentilroad/adapters/instance_list.py
@@ -0,0 +1,95 @@
+"""The platform's list of live and leaving instances."""
+
+from __future__ import annotations
+
+import ssl
+from typing import Literal, Protocol
+
+import aiohttp
+import msgspec
+
+from lentilroad.adapters.const import INSTANCE_LIST_TIMEOUT_S
+from lentilroad.errors import UnavailableError
+
+
+class Instance(msgspec.Struct, kw_only=True):
+    """One instance as the platform lists it.
+
+    The list lags: ``leaving`` is acted on at once, ``live`` proves nothing.
+    """
+
+    instance_id: str
+    address: str
+    region: str
+    availability_zone: str
+    state: Literal["live", "leaving"] = "live"
+
+
+class InstanceListReply(msgspec.Struct, kw_only=True):
+    """Answer of the platform: all instances at one time."""
+
+    time_s: float
+    instances: list[Instance]
+
+
+class InstanceList(Protocol):
+    """What lentilroad needs from the platform's list."""
+
+    async def read(self) -> list[Instance]:
+        """Return all listed instances; raises `UnavailableError`."""
+        ...
+
+
+def leaving_ids(instances: list[Instance]) -> list[str]:
+    """Return the ids of the instances that are leaving."""
+    return [i.instance_id for i in instances if i.state == "leaving"]
+
+
+class HttpInstanceList:
+    """`InstanceList` over ``GET <endpoint>/instances``.
+
+    Parameters
+    ----------
+    endpoint : str
+        Base address, "http://ip:port".
+    timeout_s : float, optional
+        Seconds that one call may take.
+    ssl_context : ssl.SSLContext, optional
+        Client context for an HTTPS endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        timeout_s: float = INSTANCE_LIST_TIMEOUT_S,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._url = endpoint.rstrip("/") + "/instances"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._ssl = ssl_context
+        self._session: aiohttp.ClientSession | None = None
+
+    async def read(self) -> list[Instance]:
+        """Return all listed instances; raises `UnavailableError`."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        try:
+            async with self._session.get(
+                self._url, timeout=self._timeout, ssl=self._ssl or True
+            ) as response:
+                response.raise_for_status()
+                data = await response.read()
+            return msgspec.json.decode(data, type=InstanceListReply).instances
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            raise UnavailableError(
+                f"instance list gives no answer ({type(e).__name__}: {e}); check its "
+                "address in the settings",
+                outcome="not_run",
+            ) from e
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- a/lentilroad/membership/const.py
+++ b/lentilroad/membership/const.py
@@ -10,10 +10,12 @@
 # A home entry removes a sidecar this long after its last heartbeat; heartbeats
 # arrive every 500 ms.
 SIDECAR_SILENT_AFTER_S = 1.5
-# A record learned from a peer only: its home entries report its death, this limit
-# covers the loss of both.
-SIDECAR_FORGOTTEN_AFTER_S = 30.0
-SIDECAR_REFRESH_INTERVAL_S = 10.0
+# An entry that becomes the home of a sidecar declares it dead when it does not
+# report within this time; this covers the loss of both earlier homes.
+SIDECAR_UNCLAIMED_AFTER_S = 5.0
+# Records whose home is checked in each sweep; ranking all of a region's 1,300 at
+# once would stall the process for about 60 ms.
+SIDECAR_AUDIT_SLICE = 20
 DEAD_RECORD_RETENTION_S = 60.0
 PIGGYBACK_RECORDS = 16
 # Each update is sent this many times per factor of ten of the group's size.
--- a/lentilroad/membership/sidecars.py
+++ b/lentilroad/membership/sidecars.py
@@ -2,25 +2,30 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import eliot
+import msgspec
 
 from lentilroad.clock import Clock
 from lentilroad.const import HEARTBEAT_INTERVAL_S
 from lentilroad.membership.const import (
     DEAD_RECORD_RETENTION_S,
+    PAUSE_GAP_S,
     PIGGYBACK_RECORDS,
-    SIDECAR_FORGOTTEN_AFTER_S,
+    PIGGYBACK_REPEATS,
+    ROTATING_SIDECARS,
+    SIDECAR_AUDIT_SLICE,
     SIDECAR_HOME_ENTRIES,
-    SIDECAR_REFRESH_INTERVAL_S,
     SIDECAR_SILENT_AFTER_S,
+    SIDECAR_UNCLAIMED_AFTER_S,
 )
 from lentilroad.membership.rendezvous import rank
 from lentilroad.wire.messages import (
     LoadReport,
+    PingReply,
+    PingRequest,
     SidecarHeartbeat,
     SidecarHeartbeatReply,
     SidecarRecord,
@@ -47,13 +52,20 @@
     load: LoadReport = _NO_LOAD
     load_time_s: float | None = None
     heartbeat_s: float | None = None
+    # Since when this entry, as a home, waits for the first heartbeat.
+    awaited_s: float | None = None
     changed_s: float = 0.0
     config_version: int = 0
 
 
-def _version(record: SidecarRecord) -> tuple[int, int, int]:
-    """Order records of one address: a death ends its incarnation's sequence."""
-    return (record.incarnation, record.sequence, record.state == "dead")
+def _reported(record: SidecarRecord) -> tuple[int, int]:
+    """Order what a sidecar reports about itself."""
+    return (record.incarnation, record.sequence)
+
+
+def _version(record: SidecarRecord) -> tuple[int, int, int, bool]:
+    """Order records of one sidecar, including what entries observe."""
+    return (*_reported(record), record.observation, record.state == "dead")
 
 
 class SidecarDirectory:
@@ -63,6 +75,8 @@
     ----------
     clock : Clock
         Source of time.
+    address : str
+        Address of this entry.
     region : str
         Region of this entry.
     incarnation : int
@@ -79,6 +93,7 @@
         self,
         *,
         clock: Clock,
+        address: str,
         region: str,
         incarnation: int,
         alive_entries: Callable[[str], list[str]],
@@ -86,6 +101,7 @@
         on_config_version: Callable[[str, int], None] | None = None,
     ) -> None:
         self._clock = clock
+        self._address = address
         self._region = region
         self._incarnation = incarnation
         self._alive_entries = alive_entries
@@ -94,7 +110,10 @@
         self._known: dict[str, _Known] = {}
         self._index: dict[tuple[str, str], dict[str, _Known]] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._updates: deque[str] = deque()
+        self._updates: dict[str, int] = {}
+        self._rotation = 0
+        self._audited = 0
+        self._last_sweep_s = clock.monotonic_s()
 
     def serving(self, name: str, region: str) -> list[ServingSidecar]:
         """Return the sidecars of a model or service that take new work."""
@@ -140,12 +159,12 @@
     async def heartbeat(self, request: SidecarHeartbeat) -> SidecarHeartbeatReply:
         """Handle `SIDECAR_HEARTBEAT`."""
         now_s = self._clock.monotonic_s()
-        self._learn(request.record, now_s)
-        known = self._known[request.record.address]
+        known = self._learn(self._observed(request.record), now_s)
         if known.record.incarnation == request.record.incarnation:
             known.load = request.load
             known.load_time_s = now_s
             known.heartbeat_s = now_s
+            known.awaited_s = None
             known.config_version = request.config_version
         if self._on_config_version is not None:
             self._on_config_version(request.record.address, request.config_version)
@@ -155,17 +174,32 @@
             home_entries=self.home_entries(request.record.address),
         )
 
+    def note_load(self, address: str, load: LoadReport) -> None:
+        """Keep a load report that came another way than by heartbeat."""
+        known = self._known.get(address)
+        if known is not None:
+            known.load = load
+            known.load_time_s = self._clock.monotonic_s()
+
+    def fill(self, message: PingRequest | PingReply, everything: bool) -> None:
+        """Add records to a probe; give it to `Members.extend`."""
+        message.sidecars = self.records() if everything else self._take_updates()
+
+    def read(self, sender: str, message: PingRequest | PingReply) -> None:
+        """Take over the records of a probe; give it to `Members.extend`."""
+        self.learn(message.sidecars)
+
     def learn(self, records: Iterable[SidecarRecord]) -> None:
         """Take over records that a peer sent."""
         now_s = self._clock.monotonic_s()
         for record in records:
-            self._learn(record, now_s)
-
-    def take_updates(self, limit: int = PIGGYBACK_RECORDS) -> list[SidecarRecord]:
-        """Return records to piggyback on the next message, newest changes first."""
-        count = min(limit, len(self._updates))
-        addresses = [self._updates.popleft() for _ in range(count)]
-        return [self._known[a].record for a in addresses if a in self._known]
+            known = self._learn(record, now_s)
+            if record.state == "dead" and self._heard(known, now_s):
+                # Another entry lost its connection to a sidecar that reports here.
+                alive = msgspec.structs.replace(
+                    record, state="serving", observation=record.observation + 1
+                )
+                self._learn(alive, now_s)
 
     def set_leaving(self, upstream_ids: Iterable[str]) -> None:
         """Stop new work to upstreams that the platform's list shows as leaving."""
@@ -176,51 +210,96 @@
             if known.record.upstream_id in changed:
                 self._reindex(known)
 
-    async def run(self, wait: Callable[[float], Awaitable[None]] | None = None) -> None:
+    async def run(self) -> None:
         """Remove silent sidecars until cancelled."""
-        wait = wait or self._clock.sleep
         while True:
-            await wait(HEARTBEAT_INTERVAL_S)
+            await self._clock.sleep(HEARTBEAT_INTERVAL_S)
             self.sweep()
 
     def sweep(self) -> None:
         """Declare silent sidecars dead and forget records long dead."""
         now_s = self._clock.monotonic_s()
+        if now_s - self._last_sweep_s > HEARTBEAT_INTERVAL_S + PAUSE_GAP_S:
+            self._restart_timers(now_s)
+        self._last_sweep_s = now_s
         for address, known in list(self._known.items()):
-            self._sweep_one(address, known, now_s)
+            if known.record.state == "dead":
+                if now_s - known.changed_s > DEAD_RECORD_RETENTION_S:
+                    del self._known[address]
+            elif known.heartbeat_s is not None and not self._heard(known, now_s):
+                known.heartbeat_s = None
+                # A sidecar whose homes have changed reports to others.
+                if self._address in self.home_entries(address):
+                    self._declare_dead(known, now_s)
+        self._audit(now_s)
 
-    def _sweep_one(self, address: str, known: _Known, now_s: float) -> None:
-        if known.record.state == "dead":
-            if now_s - known.changed_s > DEAD_RECORD_RETENTION_S:
-                del self._known[address]
-            return
+    def _restart_timers(self, now_s: float) -> None:
+        """Count silence from now on, after this process itself was paused."""
+        for known in self._known.values():
+            if known.heartbeat_s is not None:
+                known.heartbeat_s = now_s
+            known.awaited_s = None
+
+    def _audit(self, now_s: float) -> None:
+        """Look for sidecars that should report here and never did."""
+        addresses = list(self._known)
+        for _ in range(min(SIDECAR_AUDIT_SLICE, len(addresses))):
+            self._audited = (self._audited + 1) % len(addresses)
+            known = self._known[addresses[self._audited]]
+            record = known.record
+            if record.region != self._region or record.state == "dead":
+                continue
+            if known.heartbeat_s is not None:
+                continue
+            if self._address not in self.home_entries(record.address):
+                known.awaited_s = None
+            elif known.awaited_s is None:
+                known.awaited_s = now_s
+            elif now_s - known.awaited_s > SIDECAR_UNCLAIMED_AFTER_S:
+                self._declare_dead(known, now_s)
+
+    @staticmethod
+    def _heard(known: _Known, now_s: float) -> bool:
         if known.heartbeat_s is None:
-            if now_s - known.changed_s > SIDECAR_FORGOTTEN_AFTER_S:
-                self._unindex(known)
-                del self._known[address]
-            return
-        if now_s - known.heartbeat_s <= SIDECAR_SILENT_AFTER_S:
-            if now_s - known.changed_s > SIDECAR_REFRESH_INTERVAL_S:
-                known.changed_s = now_s
-                self._updates.append(address)
-            return
-        known.heartbeat_s = None
-        if self._entry_is_home(address):
-            eliot.log_message(message_type="membership:sidecar_silent", address=address)
-            self._learn(_dead(known.record), now_s)
+            return False
+        return now_s - known.heartbeat_s <= SIDECAR_SILENT_AFTER_S
 
-    def _entry_is_home(self, address: str) -> bool:
-        return True
+    def _declare_dead(self, known: _Known, now_s: float) -> None:
+        eliot.log_message(
+            message_type="membership:sidecar_silent", address=known.record.address
+        )
+        self._learn(msgspec.structs.replace(known.record, state="dead"), now_s)
 
-    def _learn(self, record: SidecarRecord, now_s: float) -> None:
+    def _observed(self, record: SidecarRecord) -> SidecarRecord:
+        """Return a reported record with the observations known here."""
+        known = self._known.get(record.address)
+        if known is None or _reported(known.record) != _reported(record):
+            return record
+        observation = known.record.observation + (known.record.state == "dead")
+        return msgspec.structs.replace(record, observation=observation)
+
+    def _take_updates(self) -> list[SidecarRecord]:
+        chosen = list(self._updates)[:PIGGYBACK_RECORDS]
+        for address in chosen:
+            remaining = self._updates.pop(address) - 1
+            if remaining > 0:
+                # Moves to the end, so that all updates take turns.
+                self._updates[address] = remaining
+        addresses = list(self._known)
+        for _ in range(min(ROTATING_SIDECARS, len(addresses))):
+            self._rotation = (self._rotation + 1) % len(addresses)
+            chosen.append(addresses[self._rotation])
+        return [
+            self._known[a].record for a in dict.fromkeys(chosen) if a in self._known
+        ]
+
+    def _learn(self, record: SidecarRecord, now_s: float) -> _Known:
         known = self._known.get(record.address)
         if known is None:
             known = _Known(record=record, changed_s=now_s)
             self._known[record.address] = known
         elif _version(record) <= _version(known.record):
-            if known.heartbeat_s is None and record.state != "dead":
-                known.changed_s = now_s
-            return
+            return known
         else:
             self._unindex(known)
             if record.incarnation != known.record.incarnation:
@@ -229,7 +308,8 @@
             known.record = record
             known.changed_s = now_s
         self._reindex(known)
-        self._updates.append(record.address)
+        self._updates[record.address] = PIGGYBACK_REPEATS
+        return known
 
     def _reindex(self, known: _Known) -> None:
         self._unindex(known)
@@ -248,17 +328,3 @@
             found.pop(record.address, None)
             if not found:
                 del self._index[(record.region, name)]
-
-
-def _dead(record: SidecarRecord) -> SidecarRecord:
-    return SidecarRecord(
-        address=record.address,
-        upstream_id=record.upstream_id,
-        kind=record.kind,
-        names=record.names,
-        region=record.region,
-        availability_zone=record.availability_zone,
-        incarnation=record.incarnation,
-        state="dead",
-        sequence=record.sequence,
-    )
--- /dev/null
+++ b/tests/adapters/test_instance_list.py
@@ -0,0 +1,48 @@
+"""Guard the reading of the platform's list."""
+
+from __future__ import annotations
+
+import pytest
+from aiohttp.test_utils import TestServer
+
+from lentilroad.adapters.instance_list import HttpInstanceList, Instance, leaving_ids
+from lentilroad.errors import UnavailableError
+from lentilroad.standins.instance_list import InstanceListStandIn
+
+
+class _Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def time_s(self):
+        return self.now_s
+
+
+async def test_list_lags_and_reports_outages():
+    """A change must show only after the lag, and an outage as unavailable."""
+    clock = _Clock()
+    state = InstanceListStandIn(clock=clock, lag_s=5)
+    instance = Instance(
+        instance_id="i-1", address="10.0.0.1", region="r1", availability_zone="z1"
+    )
+    state.put(instance)
+    server = TestServer(state.build_application())
+    await server.start_server()
+    client = HttpInstanceList(endpoint=str(server.make_url("")))
+    try:
+        assert await client.read() == []
+        clock.now_s += 5
+        assert await client.read() == [instance]
+        instance.state = "leaving"
+        state.put(instance)
+        clock.now_s += 5
+        assert leaving_ids(await client.read()) == ["i-1"]
+        state.down = True
+        with pytest.raises(UnavailableError):
+            await client.read()
+    finally:
+        await client.close()
+        await server.close()
--- /dev/null
+++ b/tests/membership/test_sidecars.py
@@ -0,0 +1,174 @@
+"""Guard the directory that routing reads."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilroad.membership.sidecars import SidecarDirectory
+from lentilroad.wire.messages import (
+    LoadReport,
+    PingReply,
+    SidecarHeartbeat,
+    SidecarRecord,
+)
+
+ENTRIES = ["10.0.0.1:7000", "10.0.0.2:7000"]
+
+
+class ManualClock:
+    """Clock that a test sets."""
+
+    now_s = 0.0
+
+    def monotonic_s(self):
+        """Return the time that was set."""
+        return self.now_s
+
+
+def make_directory(clock, *, address=ENTRIES[0], entries=ENTRIES):
+    """Return a directory of one of two entries."""
+    return SidecarDirectory(
+        clock=clock,
+        address=address,
+        region="r1",
+        incarnation=1,
+        alive_entries=lambda region: entries,
+    )
+
+
+def make_record(**changes):
+    """Return the record of a sidecar."""
+    fields = {
+        "address": "10.0.1.1:7100",
+        "upstream_id": "engine-1",
+        "kind": "engine",
+        "names": ["small", "large"],
+        "region": "r1",
+        "availability_zone": "z1",
+        "incarnation": 10,
+    }
+    return SidecarRecord(**(fields | changes))
+
+
+def heartbeat(**changes):
+    """Return a heartbeat of that sidecar."""
+    return SidecarHeartbeat(record=make_record(**changes), load=LoadReport(queued=3))
+
+
+def pass_on(sender, receiver):
+    """Send one directory's updates to another."""
+    message = PingReply(alive=True)
+    sender.fill(message, False)
+    receiver.read("", message)
+
+
+def names_served(directory):
+    """Return the addresses that serve the model "small"."""
+    return [found.record.address for found in directory.serving("small", "r1")]
+
+
+async def test_serving_finds_by_name_and_region_with_load_age():
+    """A sidecar of another model or region must not be chosen."""
+    clock = ManualClock()
+    directory = make_directory(clock)
+    await directory.heartbeat(heartbeat())
+    clock.now_s = 0.75
+    (found,) = directory.serving("large", "r1")
+    assert (found.load.queued, found.load_age_s) == (3, 0.75)
+    assert directory.serving("large", "r2") == []
+    assert directory.serving("other", "r1") == []
+
+
+async def test_silent_sidecar_is_removed_everywhere():
+    """New work must not go to a sidecar that stopped reporting."""
+    clock = ManualClock()
+    home = make_directory(clock)
+    other = make_directory(clock, address="10.0.0.9:7000")
+    await home.heartbeat(heartbeat())
+    pass_on(home, other)
+    assert names_served(other) == ["10.0.1.1:7100"]
+    for clock.now_s in (0.5, 1.0, 1.5):
+        home.sweep()
+    assert names_served(home) == ["10.0.1.1:7100"]
+    clock.now_s = 2.0
+    home.sweep()
+    pass_on(home, other)
+    assert names_served(home) == names_served(other) == []
+
+
+async def test_draining_and_leaving_stop_new_work_at_once():
+    """An upstream that leaves must receive no new work."""
+    directory = make_directory(ManualClock())
+    await directory.heartbeat(heartbeat())
+    directory.set_leaving(["engine-1"])
+    assert names_served(directory) == []
+    directory.set_leaving([])
+    assert names_served(directory) == ["10.0.1.1:7100"]
+    await directory.heartbeat(heartbeat(state="draining", sequence=1))
+    assert names_served(directory) == []
+
+
+async def test_one_lost_connection_does_not_remove_a_live_sidecar():
+    """The other home entry still hears it and must win."""
+    clock = ManualClock()
+    deaf, hearing = (make_directory(clock, address=address) for address in ENTRIES)
+    await deaf.heartbeat(heartbeat())
+    await hearing.heartbeat(heartbeat())
+    for clock.now_s in (0.5, 1.0, 1.5, 2.0):
+        deaf.sweep()
+        await hearing.heartbeat(heartbeat())
+        hearing.sweep()
+    assert names_served(deaf) == []
+    pass_on(deaf, hearing)
+    pass_on(hearing, deaf)
+    assert names_served(deaf) == names_served(hearing) == ["10.0.1.1:7100"]
+
+
+async def test_entry_that_is_no_longer_home_does_not_declare_a_death():
+    """A sidecar that reports elsewhere after a join must stay in service."""
+    clock = ManualClock()
+    directory = make_directory(clock, entries=["10.0.0.8:7000", "10.0.0.9:7000"])
+    await directory.heartbeat(heartbeat())
+    for clock.now_s in (0.5, 1.0, 1.5, 2.0, 2.5):
+        directory.sweep()
+    assert names_served(directory) == ["10.0.1.1:7100"]
+
+
+async def test_sidecar_lost_with_both_home_entries_is_removed():
+    """A record without a living home must not stay for good."""
+    clock = ManualClock()
+    directory = make_directory(clock)
+    directory.learn([make_record()])
+    for step in range(14):
+        clock.now_s = step * 0.5
+        directory.sweep()
+    assert names_served(directory) == []
+
+
+async def test_pause_of_the_entry_is_not_a_death_of_its_sidecars():
+    """After a pause, sidecars get the time to report again."""
+    clock = ManualClock()
+    directory = make_directory(clock)
+    await directory.heartbeat(heartbeat())
+    directory.sweep()
+    clock.now_s = 8.0
+    directory.sweep()
+    assert names_served(directory) == ["10.0.1.1:7100"]
+
+
+@pytest.mark.parametrize("incarnation", [9, 11])
+async def test_restarted_sidecar_replaces_its_earlier_record(incarnation):
+    """Only the later process counts, and it starts without a load report."""
+    directory = make_directory(ManualClock())
+    await directory.heartbeat(heartbeat())
+    directory.learn([make_record(incarnation=incarnation)])
+    (found,) = directory.serving("small", "r1")
+    assert found.record.incarnation == max(10, incarnation)
+    assert found.load.queued == (3 if incarnation == 9 else 0)
+
+
+async def test_reply_names_the_home_entries():
+    """A sidecar must learn where to report after a join."""
+    directory = make_directory(ManualClock())
+    reply = await directory.heartbeat(heartbeat())
+    assert sorted(reply.home_entries) == ENTRIES
