Replace a draining arbiter, and keep the standby's copy in a recovery

Cause: an owner was killed 2 s after the arbiter of its shards had begun a planned stop; with both gone there was no takeover, and after 10 s the recovery dropped the standby's complete copy because its epoch skips 1000. Change: owners replace a draining arbiter while it still answers, a drained entry waits until no record names it, and a recovered record states the epoch that was in force before, so that the standby's copy counts. Conclusion: planned stops no longer weaken the succession.

--- a/lentilroad/membership/shard_state.py
+++ b/lentilroad/membership/shard_state.py
@@ -96,6 +96,10 @@
             or self.is_me(record.arbiter, record.arbiter_started_ms)
         )
 
+    def named_in(self) -> list[str]:
+        """Return the shards whose record in force names this process."""
+        return [s.name for s in self.states.values() if self._named(s.record)]
+
     def owned(self) -> list[ShardState]:
         """Return the shards whose record in force names this process as owner."""
         return [state for state in self.states.values() if self.owns(state.record)]
--- a/lentilroad/membership/shards.py
+++ b/lentilroad/membership/shards.py
@@ -210,6 +210,10 @@
         unconfirmed = self._moves.unconfirmed()
         return sorted({*undecided, *unconfirmed, *self._records.unwritten})
 
+    def named_in(self) -> list[str]:
+        """Return the shards of all regions whose record names this entry."""
+        return self._records.named_in()
+
     def without_standby(self) -> list[str]:
         """Return owned shards that commit alone, for ``status``."""
         return [s.name for s in self._records.owned() if not s.record.standby]
--- a/lentilroad/membership/succession.py
+++ b/lentilroad/membership/succession.py
@@ -103,9 +103,7 @@
             return
         if not self._standby_lost(state):
             self._map_changes.withdraw(state.name, owner=record.owner, standby="")
-            if not record.arbiter or self._gone(
-                record.arbiter, record.arbiter_started_ms, for_s=ARBITER_LOST_AFTER_S
-            ):
+            if self._needs_arbiter(record):
                 self._start(state, self._replace_arbiter)
             return
         if record.arbiter:
@@ -113,6 +111,17 @@
         else:
             self._propose_to_map(state, owner=record.owner, standby="")
 
+    def _needs_arbiter(self, record: ShardRecord) -> bool:
+        # A draining arbiter is replaced while it still answers: an owner that dies
+        # together with its arbiter has no takeover before the recovery.
+        return (
+            self._members.state_of(record.arbiter) == "draining"
+            or not record.arbiter
+            or self._gone(
+                record.arbiter, record.arbiter_started_ms, for_s=ARBITER_LOST_AFTER_S
+            )
+        )
+
     def _tick_standing_by(self, state: ShardState) -> None:
         record = state.record
         silent_s = self._pairs.silent_s(record.owner, since_s=state.learned_s)
@@ -351,6 +360,8 @@
             arbiter=fresh.standby or (fresh.owner and fresh.arbiter),
             peer_of=self._members.peer,
         )
+        # The standby's copy of the last record in force stays usable.
+        recovered.base_epoch = record.epoch
         eliot.log_message(
             message_type="membership:shard_recovery",
             shard=state.name,
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -381,11 +381,12 @@
 
     async def _wait_handed_over(self) -> None:
         give_up_s = self.clock.monotonic_s() + HAND_OVER_TIMEOUT_S
-        while self.shard_table.shards_owned() or self.shard_table.moving_away():
+        table = self.shard_table
+        while table.named_in() or table.moving_away():
             if self.clock.monotonic_s() >= give_up_s:
                 eliot.log_message(
                     message_type="entry:shards_left",
-                    shards=len(self.shard_table.shards_owned()),
+                    shards=len(table.named_in()),
                 )
                 return
             await self.clock.sleep(HAND_OVER_POLL_S)
--- a/lentilroad/program/standby.py
+++ b/lentilroad/program/standby.py
@@ -81,7 +81,7 @@
         copy = self._copies.pop(shard, None)
         if copy is None:
             return []
-        if copy.epoch < record.epoch - 1:
+        if copy.epoch < (record.base_epoch or record.epoch - 1):
             log_message(
                 message_type="program:copy_outdated",
                 shard=shard,
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -413,6 +413,9 @@
     # The owner had no standby before and may not know this record yet; the standby
     # takes over only after the owner's first message under it.
     from_sole_owner: bool = False
+    # Epoch that was in force before; 0 means the one below. A recovery skips epochs
+    # that cut-off entries may have granted.
+    base_epoch: int = 0
 
 
 class ShardMap(Message):
--- a/tests/membership/test_moves.py
+++ b/tests/membership/test_moves.py
@@ -10,6 +10,7 @@
 from tests.fakes.entries import running_group
 
 HAND_OVER_LIMIT_S = 30.0
+TAKEOVER_LIMIT_S = 3.0
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -37,3 +38,24 @@
             group.assert_single_owner()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_owner_may_die_right_after_another_entry_drained(seed):
+    """No shard may depend on an arbiter that has left by plan."""
+
+    async def main():
+        async with running_group(seed=seed, entries=5, shard_count=50) as group:
+            loop = asyncio.get_running_loop()
+            leaving, dying = list(group.nodes.values())[:2]
+            leaving.members.drain()
+            give_up_s = loop.time() + HAND_OVER_LIMIT_S
+            while leaving.table.named_in() or leaving.table.moving_away():
+                assert loop.time() < give_up_s
+                await asyncio.sleep(0.1)
+            await leaving.kill()
+            await dying.kill()
+            assert await group.until_served(10) <= TAKEOVER_LIMIT_S
+            group.assert_single_owner()
+
+    run_virtual(main())
