--- a/lentilroad/faults/sidecar.py
+++ b/lentilroad/faults/sidecar.py
@@ -66,6 +66,7 @@
     if request.kind == "service":
         return f"done:{request.operation}:{request.payload.decode()}"
     last = request.messages[-1].content if request.messages else ""
+    last = last.partition(" ")[0]
     words = [f"{last}#{len(request.messages)}:{number}" for number in range(8)]
     return " ".join(words)
 
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -10,21 +10,18 @@
 from lentilroad.clock import Clock
 from lentilroad.errors import (
     ConflictError,
-    InvalidRequestError,
     LentilroadError,
-    NotFoundError,
-    NotOwnerError,
     RateLimitedError,
 )
 from lentilroad.program import const
+from lentilroad.program.attempt import ChooseUpstream, Dependencies
 from lentilroad.program.budget import as_usage
-from lentilroad.program.execution import ChooseUpstream, Dependencies, execute_turn
+from lentilroad.program.execution import execute_turn
 from lentilroad.program.history import read_history
+from lentilroad.program.lifecycle import Lifecycle
 from lentilroad.program.owned import OwnedShards
 from lentilroad.program.preparation import CallPolicy, default_policy, ended_error
 from lentilroad.program.records import (
-    Ended,
-    Opened,
     ProgramState,
     fingerprint_of,
     unpack_result,
@@ -101,7 +98,6 @@
         note_in_flight: Callable[[str, int], None] = lambda address, change: None,
         idle_limit_s: float = const.IDLE_LIMIT_S,
     ) -> None:
-        self._shard_of = shard_of
         self._clock = clock
         self._tasks: set[asyncio.Task[Any]] = set()
         self._draining = False
@@ -115,6 +111,14 @@
             on_adopted=self._on_adopted,
         )
         calls = SidecarCalls(call=call, stream=stream, clock=clock, random=random)
+        self._lifecycle = Lifecycle(
+            owned=self._owned,
+            shard_table=shard_table,
+            calls=calls,
+            shard_of=shard_of,
+            clock=clock,
+            start_task=self._start_task,
+        )
         self._upkeep = Upkeep(
             owned=self._owned,
             shard_table=shard_table,
@@ -122,7 +126,7 @@
             calls=calls,
             clock=clock,
             start_task=self._start_task,
-            end_tree=self._end_tree,
+            lifecycle=self._lifecycle,
             idle_limit_s=idle_limit_s,
         )
         self._dependencies = Dependencies(
@@ -152,7 +156,7 @@
         """End a program and its sub-agents; handler of `END_PROGRAM`."""
         try:
             program = self._find(request.program_id, request.caller_id)
-            await self._end_tree(program, request.reason)
+            await self._lifecycle.end_tree(program, request.reason)
         except LentilroadError as error:
             return EndProgramReply(error=to_wire_error(error))
         return EndProgramReply()
@@ -263,61 +267,9 @@
 
     async def _open(self, request: OpenProgramRequest) -> Program:
         shard = self._owned.owned_shard(request.program_id)
-        existing = self._owned.programs(shard).get(request.program_id)
-        if existing is not None:
-            return await self._reopen(existing, request)
-        if self._draining:
+        if self._draining and request.program_id not in self._owned.programs(shard):
             raise not_owner(shard)
-        parent = self._parent_of(request, shard)
-        now_s = self._clock.time_s()
-        state = ProgramState(
-            program_id=request.program_id,
-            caller_id=request.caller_id,
-            shard=shard,
-            started_time_s=now_s,
-            last_active_time_s=now_s,
-            parent_program_id=request.parent_program_id,
-            budget=request.budget,
-            deadline_time_s=request.deadline_time_s,
-        )
-        program = self._owned.add(state, parent)
-        opened = Opened(state=state)
-        program.opening = self._start_task(
-            self._owned.replicator(shard).append(state, opened)
-        )
-        await asyncio.shield(program.opening)
-        return program
-
-    async def _reopen(self, program: Program, request: OpenProgramRequest) -> Program:
-        """Answer a repeated open; it succeeds when it asks for the same program."""
-        program = self._find(request.program_id, request.caller_id)
-        if program.state.parent_program_id != request.parent_program_id:
-            raise ConflictError(
-                "the program exists with another parent; choose another program id"
-            )
-        if not program.is_open:
-            raise ended_error()
-        if program.opening is not None:
-            await asyncio.shield(program.opening)
-        return program
-
-    def _parent_of(self, request: OpenProgramRequest, shard: str) -> Program | None:
-        parent_id = request.parent_program_id
-        if parent_id is None:
-            return None
-        if self._shard_of(parent_id) != shard:
-            raise InvalidRequestError(
-                "a sub-agent must be in its parent's shard; derive its id from the "
-                "parent's id"
-            )
-        parent = self._owned.find(shard, parent_id, request.caller_id)
-        if not parent.is_open:
-            raise ended_error()
-        if len(parent.root().tree()) > const.MAX_SUB_AGENTS:
-            raise RateLimitedError(
-                "the program reached its limit of sub-agents; end it and open another"
-            )
-        return parent
+        return await self._lifecycle.open(request)
 
     async def _join_or_begin(
         self, request: RunTurnRequest
@@ -400,7 +352,7 @@
                 program.lock.release()
             program.runs.pop(key, None)
         if run.request.single_turn:
-            await self._end_single_turn(program)
+            await self._lifecycle.end_single_turn(program)
         run.emit(event)
 
     def _check_still_owned(self, program: Program) -> None:
@@ -408,30 +360,6 @@
         if self._owned.programs(state.shard).get(state.program_id) is not program:
             raise not_owner(state.shard)
 
-    async def _end_single_turn(self, program: Program) -> None:
-        try:
-            await self._end_tree(program, "ended")
-        except (NotOwnerError, NotFoundError):
-            return
-
-    async def _end_tree(self, program: Program, status: str) -> None:
-        """End a program and its sub-agents, the deepest ones first."""
-        programs = [entry for entry in program.tree() if entry.state.status == "open"]
-        for entry in programs:
-            entry.ending = True
-            for run in entry.runs.values():
-                if run.interruptible or not run.dispatched:
-                    run.abort(ended_error())
-        replicator = self._owned.replicator(program.state.shard)
-        await asyncio.gather(
-            *(
-                replicator.append(entry.state, Ended(status=status))
-                for entry in reversed(programs)
-            )
-        )
-        for entry in programs:
-            self._upkeep.forget_program(entry)
-
 
 def _check_same(stored: int, fingerprint: int) -> None:
     if stored != fingerprint:
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -194,11 +194,13 @@
         return None
     if reply.state == "done" and reply.finished is not None:
         return CallOutcome(kind="finished", finished=reply.finished)
+    error = from_wire_error(reply.error) if reply.error else None
     if reply.state == "never_seen":
-        return CallOutcome(kind="not_reached", error=_not_reached())
-    if reply.error is None:
+        return CallOutcome(kind="not_reached", error=error or _not_reached())
+    if error is None:
         return _lost()
-    error = from_wire_error(reply.error)
     if reply.state == "done" or isinstance(error, StaleEpochError):
-        return CallOutcome(kind="refused", error=error)
-    return _lost()
+        return CallOutcome(kind="refused", error=error, text=reply.text)
+    lost = _lost()
+    lost.text = reply.text
+    return lost
--- a/lentilroad/program/upkeep.py
+++ b/lentilroad/program/upkeep.py
@@ -13,13 +13,14 @@
 from lentilroad.errors import LentilroadError, NotOwnerError
 from lentilroad.program import const
 from lentilroad.program.history import pack_history
+from lentilroad.program.lifecycle import Lifecycle
 from lentilroad.program.owned import OwnedShards
 from lentilroad.program.replication import ShardTable
 from lentilroad.program.sidecar_calls import SidecarCalls
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program
-from lentilroad.wire.messages import ConfirmProgramsRequest, ForgetRequest
-from lentilroad.wire.services import CONFIRM_PROGRAMS, FORGET
+from lentilroad.wire.messages import ConfirmProgramsRequest
+from lentilroad.wire.services import CONFIRM_PROGRAMS
 
 
 class Upkeep:
@@ -39,8 +40,8 @@
         Source of time.
     start_task : Callable
         Starts background work that ends with the process.
-    end_tree : Callable
-        Ends a program and its sub-agents.
+    lifecycle : Lifecycle
+        Ends programs.
     idle_limit_s : float
         Programs without a call for this long are abandoned, in seconds.
     """
@@ -54,7 +55,7 @@
         calls: SidecarCalls,
         clock: Clock,
         start_task: Callable[[Coroutine[Any, Any, Any]], Any],
-        end_tree: Callable[[Program, str], Awaitable[None]],
+        lifecycle: Lifecycle,
         idle_limit_s: float,
     ) -> None:
         self._owned = owned
@@ -63,7 +64,7 @@
         self._calls = calls
         self._clock = clock
         self._start_task = start_task
-        self._end_tree = end_tree
+        self._lifecycle = lifecycle
         self._idle_limit_s = idle_limit_s
         self._copying: set[str] = set()
 
@@ -85,12 +86,7 @@
         self._start_copy(shard)
         for program in programs:
             if not program.is_open:
-                self.forget_program(program)
-
-    def forget_program(self, program: Program) -> None:
-        """Have all sidecars that the program used drop what it holds there."""
-        if program.state.sidecars or program.runs:
-            self._start_task(self._forget(program))
+                self._lifecycle.forget_program(program)
 
     async def drain(
         self,
@@ -141,33 +137,10 @@
 
     async def _abandon(self, program: Program) -> None:
         try:
-            await self._end_tree(program, "abandoned")
+            await self._lifecycle.end_tree(program, "abandoned")
         except NotOwnerError:
             return
 
-    async def _forget(self, program: Program) -> None:
-        # A call that may not be interrupted could still leave something behind.
-        tasks = [run.task for run in program.runs.values() if run.task is not None]
-        current = asyncio.current_task()
-        tasks = [task for task in tasks if task is not current]
-        if tasks:
-            await asyncio.wait(tasks)
-        state = program.state
-        epoch = self._shard_table.my_epoch(state.shard)
-        if epoch is None:
-            return
-        request = ForgetRequest(
-            program_id=state.program_id, shard=state.shard, epoch=epoch
-        )
-        await asyncio.gather(
-            *(
-                self._calls.send(
-                    address, FORGET, request, attempts=const.FORGET_ATTEMPTS
-                )
-                for address in state.sidecars
-            )
-        )
-
     def _confirm_shard(self, shard: str) -> None:
         epoch = self._shard_table.my_epoch(shard)
         if epoch is None:
