--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -337,6 +337,8 @@
     state: Literal["serving", "draining", "dead"] = "serving"
     # Increases with every change of the record within one incarnation.
     sequence: int = 0
+    # Raised by an entry that still hears a sidecar which another one declared dead.
+    observation: int = 0
 
 
 class SidecarHeartbeat(Message):
@@ -365,6 +367,9 @@
     incarnation: int
     state: Literal["alive", "suspect", "draining", "dead"] = "alive"
     config_version: int = 0
+    # Start of the process in Unix milliseconds; a restart has a larger one, while
+    # the incarnation also rises when the entry refutes a suspicion.
+    started_ms: int = 0
 
 
 class PingRequest(Message):
@@ -377,6 +382,10 @@
     sidecars: list[SidecarRecord] = []
     # Shard map revision of each region, so that the receiver pulls newer ones.
     shard_map_revisions: dict[str, int] = {}
+    # Shard records that changed lately, also while the key-value service is down.
+    shards: dict[str, ShardRecord] = {}
+    # A sender that has just started asks for all peers and sidecars.
+    wants_all: bool = False
 
 
 class PingReply(Message):
@@ -386,6 +395,7 @@
     peers: list[PeerRecord] = []
     sidecars: list[SidecarRecord] = []
     shard_map_revisions: dict[str, int] = {}
+    shards: dict[str, ShardRecord] = {}
 
 
 class ShardRecord(Message):
@@ -395,6 +405,14 @@
     owner: str
     standby: str = ""
     arbiter: str = ""
+    # Process starts of the named entries: a restarted entry has lost its copies and
+    # its grants, so it no longer holds the role. 0 accepts any.
+    owner_started_ms: int = 0
+    standby_started_ms: int = 0
+    arbiter_started_ms: int = 0
+    # The owner had no standby before and may not know this record yet; the standby
+    # takes over only after the owner's first message under it.
+    from_sole_owner: bool = False
 
 
 class ShardMap(Message):
@@ -409,19 +427,28 @@
     """Ask a peer for its shard map of a region."""
 
     region: str
+    # Only records that changed after this revision; 0 asks for the whole map.
+    after_revision: int = 0
 
 
 class PullShardMapReply(Message):
     """Answer to `PullShardMapRequest`."""
 
     shard_map: ShardMap | None = None
+    # Changed records and the revision they lead to, when `after_revision` was set.
+    changes: dict[str, ShardRecord] = {}
+    revision: int = 0
 
 
 class GrantRequest(Message):
     """Ask the arbiter for the next epoch of a shard."""
 
     shard: str
+    # The proposed record.
     record: ShardRecord
+    # The record in force that it follows, and the entry that proposes.
+    base: ShardRecord | None = None
+    proposer: str = ""
 
 
 class GrantReply(Message):
@@ -429,6 +456,8 @@
 
     granted: bool
     highest: ShardRecord | None = None
+    # `highest` is in force, and not only granted to another entry.
+    in_force: bool = False
 
 
 class PairHeartbeat(Message):
@@ -436,8 +465,11 @@
 
     sender: str
     incarnation: int
-    # Highest epoch of each shared shard as the sender knows it.
+    # Highest epoch of each shared shard as the sender knows it; a bounded part of
+    # the shards in each message.
     epochs: dict[str, int] = {}
+    # Records in force that the receiver may lack.
+    records: dict[str, ShardRecord] = {}
 
 
 class ReplicateRequest(Message):
--- a/tests/bench/__init__.py
+++ b/tests/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the measurements."""
+"""Tests."""
