Follow the shard table: planned moves, frozen shards, epochs in force

The standby asks the table whether it accepts an epoch, and takes part in planned moves with a copy that is kept apart until the planned record is in force. Records wait while a planned move holds the shard, instead of failing turns whose programs would stay here. A copy is used only if nothing can have been committed without it, also after a recovery.

--- a/lentilroad/program/attempt.py
+++ b/lentilroad/program/attempt.py
@@ -22,7 +22,7 @@
     default_policy,
 )
 from lentilroad.program.records import CallIntent, TurnStarted
-from lentilroad.program.replication import ShardReplicator, ShardTable, not_owner
+from lentilroad.program.replication import ShardReplicator, ShardTable
 from lentilroad.program.sidecar_calls import CallOutcome, SidecarCalls
 from lentilroad.program.turns import TurnRun, final_failure
 from lentilroad.wire.convert import from_wire_error
@@ -127,11 +127,9 @@
     """Dispatch the call of the replicated intent and follow it to its end."""
     intent = work.intent
     assert intent is not None
-    shard = work.program.state.shard
-    epoch = dependencies.shard_table.my_epoch(shard)
-    if epoch is None:
-        raise not_owner(shard)
     run = work.run
+    shard = work.program.state.shard
+    epoch = await _epoch_to_use(dependencies, shard)
     work.dispatched_epoch = epoch
     run.dispatched = True
     run.interruptible = intent.idempotent
@@ -159,6 +157,17 @@
         dependencies.note_in_flight(address, -1)
 
 
+async def _epoch_to_use(dependencies: Dependencies, shard: str) -> int:
+    """Return the epoch of the shard, waiting while a planned move holds it."""
+    while True:
+        epoch = dependencies.shard_table.my_epoch(shard)
+        if epoch is not None:
+            return epoch
+        # Raises when the shard was lost.
+        dependencies.replicator(shard)
+        await dependencies.clock.sleep(const.OWNERSHIP_POLL_S)
+
+
 def _dispatch_request(work: Work, intent: CallIntent, epoch: int) -> DispatchRequest:
     state = work.program.state
     request = work.request
--- a/lentilroad/program/const.py
+++ b/lentilroad/program/const.py
@@ -29,12 +29,17 @@
 
 REPLICATE_TIMEOUT_S = 1.0
 REPLICATE_RETRY_S = 0.1
+OWNERSHIP_POLL_S = 0.05
 MAX_BATCH_RECORDS = 256
+# Snapshots of long programs take some 100 KB each.
+STAGED_BATCH_RECORDS = 16
 MAX_BATCH_BYTES = 1_000_000
 
 IDLE_LIMIT_S = 1_800.0
 ENDED_RETENTION_S = 600.0
 SWEEP_INTERVAL_S = 2.0
+# A takeover needs at least 1 s of silence, so that no record is missed.
+FOLLOW_INTERVAL_S = 0.5
 PACK_AFTER_IDLE_S = 2.0
 # Smaller tails gain little from compression.
 PACK_MIN_BYTES = 2_048
--- a/lentilroad/program/owned.py
+++ b/lentilroad/program/owned.py
@@ -86,10 +86,7 @@
         if epoch is None or epoch <= self._stale_epochs.get(shard, -1):
             raise not_owner(shard)
         if shard not in self._programs:
-            record = self._shard_table.record(shard)
-            if record is None:
-                raise not_owner(shard)
-            self.on_gained(shard, record)
+            self.on_gained(shard, self._shard_table.record(shard))
         return shard
 
     def find(self, shard: str, program_id: str, caller_id: str) -> Program:
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -204,6 +204,14 @@
         """Drop the programs of a shard; called by the shard table."""
         self._owned.on_lost(shard)
 
+    def on_changed(self, shard: str, record: ShardRecord) -> None:
+        """Copy to the new standby; called when the pair of an owned shard changes."""
+        self._upkeep.start_copy(shard)
+
+    async def copy_shard(self, shard: str, record: ShardRecord, final: bool) -> bool:
+        """Copy a shard to the entries of a planned record; see `ShardTable`."""
+        return await self._upkeep.stage(shard, record, final=final)
+
     async def run(self) -> None:
         """Do the regular work until cancelled: sweep, confirm, copy to standbys."""
         await self._upkeep.run()
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -35,12 +35,16 @@
 class ShardTable(Protocol):
     """What this package needs to know about shards."""
 
-    def record(self, shard: str) -> ShardRecord | None:
-        """Return the newest known record."""
+    def record(self, shard: str) -> ShardRecord:
+        """Return the newest record in force; raise while it is not known."""
+        ...
+
+    def accepts(self, shard: str, epoch: int, owner: str) -> bool:
+        """Return whether this entry, as standby, takes the owner's records."""
         ...
 
     def my_epoch(self, shard: str) -> int | None:
-        """Return the epoch if this entry owns the shard."""
+        """Return the epoch if this entry owns the shard and may commit."""
         ...
 
 
@@ -53,6 +57,14 @@
     done: asyncio.Future[None]
 
 
+def known_record(shard_table: ShardTable, shard: str) -> ShardRecord | None:
+    """Return the record in force, or None while it is not known."""
+    try:
+        return shard_table.record(shard)
+    except LentilroadError:
+        return None
+
+
 def not_owner(shard: str) -> NotOwnerError:
     """Return the error for a shard that this entry does not own."""
     return NotOwnerError(
@@ -103,6 +115,10 @@
         # Programs that the current standby has in full.
         self._copied: set[str] = set()
         self._standby = ""
+        self._standby_started_ms = 0
+        self._sending = asyncio.Lock()
+        # Sequence of each program that a planned move has copied.
+        self._staged: dict[str, int] = {}
         self._told_epoch = 0
         self._reset_needed = True
         self._task: asyncio.Task[None] | None = None
@@ -150,6 +166,66 @@
         """Tell the standby the current epoch."""
         await self._enqueue(None, None)
 
+    async def stage(
+        self, states: list[ProgramState], record: ShardRecord, *, final: bool
+    ) -> bool:
+        """Copy programs to the entries of a planned record.
+
+        Parameters
+        ----------
+        states : list of ProgramState
+            All programs of the shard.
+        record : ShardRecord
+            Record that the move is to put in force.
+        final : bool
+            Whether commits have stopped; only what changed is then copied.
+
+        Returns
+        -------
+        bool
+            Whether all entries of the record have the copy.
+        """
+        if not final:
+            self._staged = {}
+            return await self._stage(states, record, reset=True)
+        # Waits for the batch under way, whose acknowledgement changes programs.
+        async with self._sending:
+            changed = [
+                state
+                for state in states
+                if self._staged.get(state.program_id) != state.sequence
+            ]
+            return await self._stage(changed, record, reset=False)
+
+    async def _stage(
+        self, states: list[ProgramState], record: ShardRecord, *, reset: bool
+    ) -> bool:
+        records = [self._encode_body("", 0, CopyReset())] if reset else []
+        for state in states:
+            body = Snapshot(state=state)
+            records.append(self._encode_body(state.program_id, state.sequence, body))
+        staged = {state.program_id: state.sequence for state in states}
+        for address in {record.owner, record.standby} - {"", self._address}:
+            if not await self._stage_at(address, record, records):
+                return False
+        self._staged.update(staged)
+        return not self._closed
+
+    async def _stage_at(
+        self, address: str, staged_record: ShardRecord, records: list[bytes]
+    ) -> bool:
+        current = known_record(self._shard_table, self._shard)
+        if current is None:
+            return False
+        for start in range(0, len(records), const.STAGED_BATCH_RECORDS):
+            batch = records[start : start + const.STAGED_BATCH_RECORDS]
+            reply = await self._send(
+                address, current.epoch, batch, staged_record=staged_record
+            )
+            if reply is None or not reply.accepted:
+                return False
+        return True
+
     def forget(self, program_id: str) -> None:
         """Drop what is kept about a program that no longer exists."""
         self._copied.discard(program_id)
@@ -178,39 +254,46 @@
     async def _send_pending(self) -> None:
         try:
             while self._pending:
-                await self._send_batch()
+                async with self._sending:
+                    delay_s = await self._send_batch()
+                if delay_s:
+                    await self._clock.sleep(delay_s)
         finally:
             self._task = None
 
-    async def _send_batch(self) -> None:
+    async def _send_batch(self) -> float:
+        """Send the next batch; return the delay before the following one."""
         pair = self._note_pair()
         epoch = self._shard_table.my_epoch(self._shard)
         if epoch is None or pair is None:
-            self._fail_pending(not_owner(self._shard))
-            return
+            # A planned move may be given up; `close` follows if the shard is lost.
+            return const.REPLICATE_RETRY_S
         if not self._standby:
             self._acknowledge(len(self._pending))
-            return
+            return 0.0
         count, records, included = self._encode_batch()
-        reply = await self._send(epoch, records)
+        reply = await self._send(self._standby, epoch, records)
         if self._closed:
-            return
+            return 0.0
         if reply is None:
-            await self._clock.sleep(const.REPLICATE_RETRY_S)
-            return
+            return const.REPLICATE_RETRY_S
         if self._note_pair() != pair:
             # The acknowledgement is of a standby that has been replaced.
-            return
+            return 0.0
         if reply.accepted:
             self._told_epoch = epoch
             self._reset_needed = False
             self._copied |= included
             self._acknowledge(count)
-            return
+            return 0.0
         if reply.missing_program_ids:
             self._copied -= set(reply.missing_program_ids)
-            return
+            return 0.0
+        if reply.highest_epoch <= epoch:
+            # The standby has not learned its record yet.
+            return const.REPLICATE_RETRY_S
         self._refused(epoch, reply.highest_epoch)
+        return 0.0
 
     def _refused(self, epoch: int, highest_epoch: int) -> None:
         current = self._shard_table.my_epoch(self._shard)
@@ -225,27 +308,39 @@
         self._on_stale(self._shard, epoch)
         self.close()
 
-    async def _send(self, epoch: int, records: list[bytes]) -> ReplicateReply | None:
+    async def _send(
+        self,
+        address: str,
+        epoch: int,
+        records: list[bytes],
+        *,
+        staged_record: ShardRecord | None = None,
+    ) -> ReplicateReply | None:
         request = ReplicateRequest(
-            shard=self._shard, epoch=epoch, owner=self._address, records=records
+            shard=self._shard,
+            epoch=epoch,
+            owner=self._address,
+            records=records,
+            staged_record=staged_record,
         )
         try:
             return await self._call(
-                self._standby, REPLICATE, request, const.REPLICATE_TIMEOUT_S
+                address, REPLICATE, request, const.REPLICATE_TIMEOUT_S
             )
         except UnavailableError:
             return None
 
-    def _note_pair(self) -> tuple[str, str] | None:
-        record = self._shard_table.record(self._shard)
+    def _note_pair(self) -> tuple[str, int] | None:
+        record = known_record(self._shard_table, self._shard)
         if record is None:
             return None
-        if record.standby != self._standby:
-            self._standby = record.standby
+        standby = (record.standby, record.standby_started_ms)
+        if standby != (self._standby, self._standby_started_ms):
+            self._standby, self._standby_started_ms = standby
             self._copied = set()
             self._reset_needed = True
             self._told_epoch = 0
-        return record.owner, record.standby
+        return standby
 
     def _encode_batch(self) -> tuple[int, list[bytes], set[str]]:
         records: list[bytes] = []
--- a/lentilroad/program/standby.py
+++ b/lentilroad/program/standby.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from lentilroad.clock import Clock
+from lentilroad.membership.const import RECOVERY_EPOCH_STEP
 from lentilroad.program import const
 from lentilroad.program.history import pack_history
 from lentilroad.program.records import (
@@ -18,7 +19,7 @@
     apply_record,
     decode_record,
 )
-from lentilroad.program.replication import ShardTable
+from lentilroad.program.replication import ShardTable, known_record
 from lentilroad.wire.messages import ReplicateReply, ReplicateRequest, ShardRecord
 
 
@@ -27,6 +28,8 @@
     # Epoch in which the owner last wrote to this copy.
     epoch: int = 0
     owner: str = ""
+    # Record that a planned move is to put in force.
+    planned: ShardRecord | None = None
     programs: dict[str, ProgramState] = field(default_factory=dict)
 
 
@@ -48,28 +51,52 @@
         self._shard_table = shard_table
         self._clock = clock
         self._copies: dict[str, _ShardCopy] = {}
+        # Copies for planned moves, by shard.
+        self._staged: dict[str, _ShardCopy] = {}
 
     async def replicate(self, request: ReplicateRequest) -> ReplicateReply:
         """Apply records of a shard's owner; handler of `REPLICATE`."""
         shard = request.shard
+        record = known_record(self._shard_table, shard)
+        known_epoch = record.epoch if record else 0
+        if request.staged_record is not None:
+            return self._replicate_staged(request, request.staged_record, known_epoch)
+        if not self._shard_table.accepts(shard, request.epoch, request.owner):
+            return ReplicateReply(accepted=False, highest_epoch=known_epoch)
         copy = self._copies.get(shard) or _ShardCopy()
-        record = self._shard_table.record(shard)
-        highest_epoch = max(copy.epoch, record.epoch if record else 0)
-        if _is_stale(request, record, highest_epoch):
-            return ReplicateReply(accepted=False, highest_epoch=highest_epoch)
+        return self._apply_all(request, copy, self._copies, request.epoch)
+
+    def _replicate_staged(
+        self, request: ReplicateRequest, planned: ShardRecord, known_epoch: int
+    ) -> ReplicateReply:
+        """Keep a copy apart until the planned record is in force."""
+        if request.epoch < known_epoch:
+            return ReplicateReply(accepted=False, highest_epoch=known_epoch)
+        copy = self._staged.get(request.shard)
+        if copy is None or copy.planned != planned:
+            copy = _ShardCopy(planned=planned)
+        return self._apply_all(request, copy, self._staged, planned.epoch)
+
+    def _apply_all(
+        self,
+        request: ReplicateRequest,
+        copy: _ShardCopy,
+        copies: dict[str, _ShardCopy],
+        epoch: int,
+    ) -> ReplicateReply:
         records = [decode_record(data) for data in request.records]
         missing = _missing_programs(copy, records)
         if missing:
             return ReplicateReply(
                 accepted=False,
-                highest_epoch=highest_epoch,
+                highest_epoch=request.epoch,
                 missing_program_ids=missing,
             )
         for entry in records:
             _apply(copy, entry)
-        copy.epoch = request.epoch
+        copy.epoch = epoch
         copy.owner = request.owner
-        self._copies[shard] = copy
+        copies[request.shard] = copy
         return ReplicateReply(accepted=True, highest_epoch=request.epoch)
 
     def take(self, shard: str, record: ShardRecord) -> list[ProgramState]:
@@ -78,10 +105,12 @@
         A copy that the owner of the epoch before `record` never wrote to may lack
         what was committed with another standby, and is dropped.
         """
+        self._follow(shard, record)
         copy = self._copies.pop(shard, None)
+        self._staged.pop(shard, None)
         if copy is None:
             return []
-        if copy.epoch < record.epoch - 1:
+        if not _is_current(copy, record):
             log_message(
                 message_type="program:copy_outdated",
                 shard=shard,
@@ -99,41 +128,46 @@
             return len(copy.programs) if copy else 0
         return sum(len(copy.programs) for copy in self._copies.values())
 
+    def follow_records(self) -> None:
+        """Take note of new records; call it more often than shards change hands."""
+        for shard in {*self._copies, *self._staged}:
+            record = known_record(self._shard_table, shard)
+            if record is not None:
+                self._follow(shard, record)
+
     def sweep(self) -> None:
         """Compress idle copies and drop those that are no longer needed."""
         now_s = self._clock.time_s()
-        for shard, copy in list(self._copies.items()):
-            record = self._shard_table.record(shard)
-            if record is not None and self._is_void(copy, record):
-                del self._copies[shard]
-                continue
-            self._follow_record(copy, record)
+        for copy in self._copies.values():
             _sweep_programs(copy, now_s)
 
-    def _is_void(self, copy: _ShardCopy, record: ShardRecord) -> bool:
-        if record.epoch <= copy.epoch:
-            return False
-        return self._address not in (record.standby, record.owner)
-
-    def _follow_record(self, copy: _ShardCopy, record: ShardRecord | None) -> None:
-        # The next epoch with the same pair leaves the copy complete.
-        if (
-            record is not None
-            and record.epoch == copy.epoch + 1
-            and record.owner == copy.owner
-            and record.standby == self._address
+    def _follow(self, shard: str, record: ShardRecord) -> None:
+        staged = self._staged.get(shard)
+        if staged is not None and record.epoch >= staged.epoch:
+            del self._staged[shard]
+            copy = self._copies.get(shard)
+            is_newer = copy is None or copy.epoch < staged.epoch
+            if staged.planned == record and is_newer:
+                self._copies[shard] = staged
+        copy = self._copies.get(shard)
+        if copy is None or record.epoch <= copy.epoch:
+            return
+        if self._address not in (record.owner, record.standby):
+            del self._copies[shard]
+        elif record.epoch == copy.epoch + 1 and (
+            (record.owner, record.standby) == (copy.owner, self._address)
         ):
+            # The next epoch with the same pair leaves the copy complete.
             copy.epoch = record.epoch
 
 
-def _is_stale(
-    request: ReplicateRequest, record: ShardRecord | None, highest_epoch: int
-) -> bool:
-    if request.epoch < highest_epoch:
-        return True
-    if record is None or record.epoch != request.epoch:
-        return False
-    return record.owner != request.owner
+def _is_current(copy: _ShardCopy, record: ShardRecord) -> bool:
+    """Return whether nothing can have been committed without this copy."""
+    steps = record.epoch - copy.epoch
+    if steps >= RECOVERY_EPOCH_STEP:
+        # A recovery goes on from the last epoch in force or from a promised one.
+        steps -= RECOVERY_EPOCH_STEP
+    return steps <= 1
 
 
 def _missing_programs(copy: _ShardCopy, records: list[Record]) -> list[str]:
--- a/lentilroad/program/upkeep.py
+++ b/lentilroad/program/upkeep.py
@@ -19,7 +19,7 @@
 from lentilroad.program.sidecar_calls import SidecarCalls
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program
-from lentilroad.wire.messages import ConfirmProgramsRequest
+from lentilroad.wire.messages import ConfirmProgramsRequest, ShardRecord
 from lentilroad.wire.services import CONFIRM_PROGRAMS
 
 
@@ -70,9 +70,14 @@
 
     async def run(self) -> None:
         """Sweep, confirm and copy until cancelled."""
+        next_sweep_s = self._clock.monotonic_s() + const.SWEEP_INTERVAL_S
         next_confirm_s = self._clock.monotonic_s() + CONFIRM_PROGRAMS_INTERVAL_S
         while True:
-            await self._clock.sleep(const.SWEEP_INTERVAL_S)
+            await self._clock.sleep(const.FOLLOW_INTERVAL_S)
+            self._standby.follow_records()
+            if self._clock.monotonic_s() < next_sweep_s:
+                continue
+            next_sweep_s += const.SWEEP_INTERVAL_S
             self._standby.sweep()
             for shard in self._owned.shards():
                 self._sweep_shard(shard)
@@ -83,7 +88,7 @@
 
     def on_adopted(self, shard: str, programs: list[Program]) -> None:
         """Copy gained programs to the new standby and repeat unfinished clean-up."""
-        self._start_copy(shard)
+        self.start_copy(shard)
         for program in programs:
             if not program.is_open:
                 self._lifecycle.forget_program(program)
@@ -108,9 +113,18 @@
         if hand_over is not None:
             await hand_over(shard)
 
+    async def stage(self, shard: str, record: ShardRecord, *, final: bool) -> bool:
+        """Copy a shard to the entries of a planned record."""
+        try:
+            replicator = self._owned.replicator(shard)
+        except NotOwnerError:
+            return False
+        states = [program.state for program in self._owned.programs(shard).values()]
+        return await replicator.stage(states, record, final=final)
+
     def _sweep_shard(self, shard: str) -> None:
         now_s = self._clock.time_s()
-        self._start_copy(shard)
+        self.start_copy(shard)
         for program in list(self._owned.programs(shard).values()):
             state = program.state
             if program.runs or program.ending and state.status == "open":
@@ -161,7 +175,8 @@
                     self._calls.send(address, CONFIRM_PROGRAMS, request, attempts=2)
                 )
 
-    def _start_copy(self, shard: str) -> None:
+    def start_copy(self, shard: str) -> None:
+        """Send the programs that the current standby lacks, in the background."""
         if shard not in self._copying:
             self._copying.add(shard)
             self._start_task(self._copy_in_background(shard))
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -480,6 +480,8 @@
     owner: str
     # Encoded records; their types belong to the program package.
     records: list[bytes]
+    # Set for a copy that a planned move makes in advance of this record.
+    staged_record: ShardRecord | None = None
 
 
 class ReplicateReply(Message):
--- a/tests/fakes/shards.py
+++ b/tests/fakes/shards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lentilroad.errors import UnavailableError
 from lentilroad.wire.messages import ShardRecord
 
 
@@ -12,16 +13,28 @@
         self.address = address
         self.on_gained = lambda shard, record: None
         self.on_lost = lambda shard: None
+        self.on_changed = lambda shard, record: None
+        self.frozen = False
         self._records = {}
 
     def record(self, shard):
         """Return the newest record."""
-        return self._records.get(shard)
+        if shard not in self._records:
+            raise UnavailableError("the record is not known; retry")
+        return self._records[shard]
+
+    def accepts(self, shard, epoch, owner):
+        """Return whether this entry is the standby of the owner's epoch."""
+        record = self._records.get(shard)
+        if record is None:
+            return False
+        named = (record.epoch, record.owner, record.standby)
+        return named == (epoch, owner, self.address)
 
     def my_epoch(self, shard):
         """Return the epoch if this entry is the owner."""
         record = self._records.get(shard)
-        if record is None or record.owner != self.address:
+        if record is None or record.owner != self.address or self.frozen:
             return None
         return record.epoch
 
@@ -30,6 +43,8 @@
         before = self.my_epoch(shard)
         self._records[shard] = record
         after = self.my_epoch(shard)
+        if before is not None and after is not None:
+            self.on_changed(shard, record)
         if before is None and after is not None:
             self.on_gained(shard, record)
         if before is not None and after is None:
--- a/tests/program/cluster.py
+++ b/tests/program/cluster.py
@@ -52,6 +52,7 @@
         )
         self.table.on_gained = self.owner.on_gained
         self.table.on_lost = self.owner.on_lost
+        self.table.on_changed = self.owner.on_changed
         self.process.handlers = {REPLICATE: self.standby.replicate}
         self.upkeep = asyncio.create_task(self.owner.run())
 
--- a/tests/program/test_takeover.py
+++ b/tests/program/test_takeover.py
@@ -328,3 +328,73 @@
         assert len(sizes) <= 10
 
     run_virtual(main())
+
+
+def test_planned_move_copies_to_the_next_owner_in_advance():
+    """A moved shard must be complete at an entry that was not its standby."""
+
+    async def main():
+        cluster = Cluster()
+        a, c = cluster.entries["a"], cluster.entries["c"]
+        await open_program(a)
+        await final(a, chat("k1"))
+        planned = ShardRecord(epoch=2, owner="c", standby="b")
+        assert await a.owner.copy_shard(SHARD, planned, False)
+        await final(a, chat("k2"))
+        assert await a.owner.copy_shard(SHARD, planned, True)
+        cluster.set_record(planned)
+        assert (await read_program(c)).turn_no == 2
+        assert isinstance(await final(c, chat("k3")), Committed)
+
+    run_virtual(main())
+
+
+def test_copy_of_a_move_that_was_given_up_is_not_used():
+    """Another record under the planned epoch must not bring old state back."""
+
+    async def main():
+        cluster = Cluster()
+        a, c = cluster.entries["a"], cluster.entries["c"]
+        await open_program(a)
+        planned = ShardRecord(epoch=2, owner="c", standby="b")
+        assert await a.owner.copy_shard(SHARD, planned, False)
+        await final(a, chat("k1"))
+        other = ShardRecord(epoch=2, owner="c", standby="a")
+        cluster.set_record(other, entries="c")
+        assert (await read_program(c)).error.code == "not_found"
+
+    run_virtual(main())
+
+
+def test_recovery_by_the_standby_keeps_its_copies():
+    """The loss of owner and arbiter together must not lose the standby's copy."""
+
+    async def main():
+        cluster = Cluster()
+        a, b = cluster.entries["a"], cluster.entries["b"]
+        await open_program(a)
+        await final(a, chat("k1"))
+        a.process.kill()
+        cluster.set_record(ShardRecord(epoch=1002, owner="b"), entries="b")
+        assert (await read_program(b)).turn_no == 1
+
+    run_virtual(main())
+
+
+def test_turn_waits_for_a_planned_move_that_is_given_up():
+    """A commit that meets a frozen shard must neither fail nor get lost."""
+
+    async def main():
+        cluster = Cluster()
+        a = cluster.entries["a"]
+        await open_program(a)
+        running = asyncio.create_task(final(a, chat("k1")))
+        await asyncio.sleep(0.1)
+        a.table.frozen = True
+        await asyncio.sleep(1)
+        assert not running.done()
+        a.table.frozen = False
+        assert isinstance(await running, Committed)
+        assert (await read_program(a)).turn_no == 1
+
+    run_virtual(main())
