--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -101,6 +101,7 @@
         )
         self.directory = SidecarDirectory(
             clock=self.clock,
+            address=settings.address,
             region=settings.region,
             incarnation=self.incarnation,
             alive_entries=self.members.alive_entries,
@@ -117,8 +118,9 @@
             random=self.random,
             on_gained=lambda shard, record: self.owner.on_gained(shard, record),
             on_lost=lambda shard: self.owner.on_lost(shard),
-            copy_shard=self._copy_shard,
+            copy_shard=lambda *move: self.owner.copy_shard(*move),
         )
+        self.members.extend(self.directory.fill, self.directory.read)
         self.members.extend(self._fill_probe, self._read_probe)
 
     def _build_configuration(self) -> None:
@@ -191,30 +193,26 @@
 
     # Connections between the modules
 
-    def _fill_probe(
-        self, message: m.PingRequest | m.PingReply, everything: bool
-    ) -> None:
-        records = self.directory.records if everything else self.directory.take_updates
-        message.sidecars = records()
-
     def _read_probe(self, sender: str, message: m.PingRequest | m.PingReply) -> None:
-        self.directory.learn(message.sidecars)
         for peer in message.peers:
             self.distribution.note_peer_version(peer.address, peer.config_version)
 
+    def _fill_probe(
+        self, message: m.PingRequest | m.PingReply, everything: bool
+    ) -> None:
+        """Add nothing; peers carry the configuration version."""
+
     async def _replicate(self, request: m.ReplicateRequest) -> m.ReplicateReply:
         # The shard table also knows of grants that are not in force yet.
         table = self.shard_table
-        if not table.accepts(request.shard, request.epoch, request.owner):
+        is_staged = request.staged_record is not None
+        if not is_staged and not table.accepts(
+            request.shard, request.epoch, request.owner
+        ):
             highest_epoch = table.highest_epoch(request.shard)
             return m.ReplicateReply(accepted=False, highest_epoch=highest_epoch)
         return await self.standby.replicate(request)
 
-    async def _copy_shard(self, shard: str, record: m.ShardRecord, final: bool) -> bool:
-        """Allow planned moves whose new owner already holds a copy."""
-        holders = (self.settings.address, self.shard_table.record(shard).standby)
-        return record.owner in holders
-
     # Views of the configuration and the membership
 
     def _region_peers(self) -> list[str]:
--- a/lentilroad/program/upkeep.py
+++ b/lentilroad/program/upkeep.py
@@ -13,13 +13,14 @@
 from lentilroad.errors import LentilroadError, NotOwnerError
 from lentilroad.program import const
 from lentilroad.program.history import pack_history
+from lentilroad.program.lifecycle import Lifecycle
 from lentilroad.program.owned import OwnedShards
 from lentilroad.program.replication import ShardTable
 from lentilroad.program.sidecar_calls import SidecarCalls
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program
-from lentilroad.wire.messages import ConfirmProgramsRequest, ForgetRequest
-from lentilroad.wire.services import CONFIRM_PROGRAMS, FORGET
+from lentilroad.wire.messages import ConfirmProgramsRequest, ShardRecord
+from lentilroad.wire.services import CONFIRM_PROGRAMS
 
 
 class Upkeep:
@@ -39,8 +40,8 @@
         Source of time.
     start_task : Callable
         Starts background work that ends with the process.
-    end_tree : Callable
-        Ends a program and its sub-agents.
+    lifecycle : Lifecycle
+        Ends programs.
     idle_limit_s : float
         Programs without a call for this long are abandoned, in seconds.
     """
@@ -54,7 +55,7 @@
         calls: SidecarCalls,
         clock: Clock,
         start_task: Callable[[Coroutine[Any, Any, Any]], Any],
-        end_tree: Callable[[Program, str], Awaitable[None]],
+        lifecycle: Lifecycle,
         idle_limit_s: float,
     ) -> None:
         self._owned = owned
@@ -63,15 +64,20 @@
         self._calls = calls
         self._clock = clock
         self._start_task = start_task
-        self._end_tree = end_tree
+        self._lifecycle = lifecycle
         self._idle_limit_s = idle_limit_s
         self._copying: set[str] = set()
 
     async def run(self) -> None:
         """Sweep, confirm and copy until cancelled."""
+        next_sweep_s = self._clock.monotonic_s() + const.SWEEP_INTERVAL_S
         next_confirm_s = self._clock.monotonic_s() + CONFIRM_PROGRAMS_INTERVAL_S
         while True:
-            await self._clock.sleep(const.SWEEP_INTERVAL_S)
+            await self._clock.sleep(const.FOLLOW_INTERVAL_S)
+            self._standby.follow_records()
+            if self._clock.monotonic_s() < next_sweep_s:
+                continue
+            next_sweep_s += const.SWEEP_INTERVAL_S
             self._standby.sweep()
             for shard in self._owned.shards():
                 self._sweep_shard(shard)
@@ -82,15 +88,10 @@
 
     def on_adopted(self, shard: str, programs: list[Program]) -> None:
         """Copy gained programs to the new standby and repeat unfinished clean-up."""
-        self._start_copy(shard)
+        self.start_copy(shard)
         for program in programs:
             if not program.is_open:
-                self.forget_program(program)
-
-    def forget_program(self, program: Program) -> None:
-        """Have all sidecars that the program used drop what it holds there."""
-        if program.state.sidecars or program.runs:
-            self._start_task(self._forget(program))
+                self._lifecycle.forget_program(program)
 
     async def drain(
         self,
@@ -112,9 +113,18 @@
         if hand_over is not None:
             await hand_over(shard)
 
+    async def stage(self, shard: str, record: ShardRecord, *, final: bool) -> bool:
+        """Copy a shard to the entries of a planned record."""
+        try:
+            replicator = self._owned.replicator(shard)
+        except NotOwnerError:
+            return False
+        states = [program.state for program in self._owned.programs(shard).values()]
+        return await replicator.stage(states, record, final=final)
+
     def _sweep_shard(self, shard: str) -> None:
         now_s = self._clock.time_s()
-        self._start_copy(shard)
+        self.start_copy(shard)
         for program in list(self._owned.programs(shard).values()):
             state = program.state
             if program.runs or program.ending and state.status == "open":
@@ -141,33 +151,10 @@
 
     async def _abandon(self, program: Program) -> None:
         try:
-            await self._end_tree(program, "abandoned")
+            await self._lifecycle.end_tree(program, "abandoned")
         except NotOwnerError:
             return
 
-    async def _forget(self, program: Program) -> None:
-        # A call that may not be interrupted could still leave something behind.
-        tasks = [run.task for run in program.runs.values() if run.task is not None]
-        current = asyncio.current_task()
-        tasks = [task for task in tasks if task is not current]
-        if tasks:
-            await asyncio.wait(tasks)
-        state = program.state
-        epoch = self._shard_table.my_epoch(state.shard)
-        if epoch is None:
-            return
-        request = ForgetRequest(
-            program_id=state.program_id, shard=state.shard, epoch=epoch
-        )
-        await asyncio.gather(
-            *(
-                self._calls.send(
-                    address, FORGET, request, attempts=const.FORGET_ATTEMPTS
-                )
-                for address in state.sidecars
-            )
-        )
-
     def _confirm_shard(self, shard: str) -> None:
         epoch = self._shard_table.my_epoch(shard)
         if epoch is None:
@@ -188,7 +175,8 @@
                     self._calls.send(address, CONFIRM_PROGRAMS, request, attempts=2)
                 )
 
-    def _start_copy(self, shard: str) -> None:
+    def start_copy(self, shard: str) -> None:
+        """Send the programs that the current standby lacks, in the background."""
         if shard not in self._copying:
             self._copying.add(shard)
             self._start_task(self._copy_in_background(shard))
