--- a/lentilroad/adapters/http_engine.py
+++ b/lentilroad/adapters/http_engine.py
@@ -67,7 +67,7 @@
             )
         return self._session
 
-    async def generate(self, request: EngineRequest) -> AsyncIterator[EngineOutput]:
+    def generate(self, request: EngineRequest) -> AsyncIterator[EngineOutput]:
         """Run a completion and yield its output."""
         body = {
             "model": request.model,
@@ -85,24 +85,18 @@
         }
         if request.traceparent:
             headers["traceparent"] = request.traceparent
-        response = self._stream(
+        return self._stream(
             "POST",
             "/v1/chat/completions",
             data=msgspec.json.encode(body),
             headers=headers,
         )
-        async for output in response:
-            yield output
 
-    async def resume(
-        self, *, request_id: str, offset: int
-    ) -> AsyncIterator[EngineOutput]:
+    def resume(self, *, request_id: str, offset: int) -> AsyncIterator[EngineOutput]:
         """Yield the output of a completion from `offset` characters on."""
-        response = self._stream(
+        return self._stream(
             "GET", f"/v1/streams/{request_id}", params={"offset": str(offset)}
         )
-        async for output in response:
-            yield output
 
     async def _stream(
         self, method: str, path: str, **arguments: Any
--- a/lentilroad/adapters/sse.py
+++ b/lentilroad/adapters/sse.py
@@ -11,9 +11,16 @@
 from lentilroad.wire.messages import Usage
 
 # Quotes inside a JSON string are escaped, so that text never matches the key.
-_CONTENT = re.compile(rb'"content":\s?"((?:[^"\\]|\\.)*)"')
+_CONTENT = re.compile(rb'"content":\s?"([^"\\]*(?:\\.[^"\\]*)*)"')
 # Events with one of these need a full decode.
-_UNUSUAL = re.compile(rb'"finish_reason":\s?"|\[DONE\]|"error"|"usage":\s?\{')
+_UNUSUAL = (
+    b'"finish_reason":"',
+    b'"finish_reason": "',
+    b"[DONE]",
+    b'"error"',
+    b'"usage":{',
+    b'"usage": {',
+)
 
 
 class _Delta(msgspec.Struct):
@@ -89,7 +96,10 @@
                 return None
             self._rest = data[end:]
             data = data[:end]
-        if _UNUSUAL.search(data) is None:
+        for mark in _UNUSUAL:
+            if mark in data:
+                break
+        else:
             contents = _CONTENT.findall(data)
             if len(contents) == data.count(b"data:"):
                 return EngineOutput(text=_join(contents), tokens=len(contents))
--- a/lentilroad/notifier.py
+++ b/lentilroad/notifier.py
@@ -22,10 +22,15 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    async def wait(self) -> None:
-        """Wait for the next `notify`."""
+    def future(self) -> asyncio.Future[None]:
+        """Return a future that the next `notify` completes."""
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
+        return waiter
+
+    async def wait(self) -> None:
+        """Wait for the next `notify`."""
+        waiter = self.future()
         try:
             await waiter
         except asyncio.CancelledError:
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -94,6 +94,7 @@
     server_ssl_context: ssl.SSLContext | None = None,
     client_ssl_context: ssl.SSLContext | None = None,
     clock: Clock | None = None,
+    concurrency: ConcurrencyLimit | None = None,
     limits: CallLimits | None = None,
     on_reply: Callable[[str, SidecarHeartbeatReply], None] | None = None,
 ) -> Sidecar:
@@ -123,6 +124,8 @@
         Contexts for mutual TLS between lentilroad processes.
     clock : Clock, optional
         Source of time.
+    concurrency : ConcurrencyLimit, optional
+        Limit of the calls that run at the same time.
     limits : CallLimits, optional
         Times after which calls are given up.
     on_reply : callable, optional
@@ -145,7 +148,7 @@
     )
     engine = HttpEngine(base_url=upstream_url) if kind == "engine" else None
     service = HttpService(base_url=upstream_url) if kind == "service" else None
-    concurrency = ConcurrencyLimit(clock=clock)
+    concurrency = concurrency or ConcurrencyLimit(clock=clock)
     runner = CallRunner(
         record=record,
         clock=clock,
--- a/lentilroad/upstream/reading.py
+++ b/lentilroad/upstream/reading.py
@@ -43,7 +43,8 @@
             sent_s = clock.monotonic_s()
             yield OutputChunk(offset=start, text=text)
         if not reader.behind and not output.closed:
-            await output.changed.wait()
+            # Awaited without a coroutine in between: this runs once per token.
+            await output.changed.future()
         wait_s = sent_s + interval_s - clock.monotonic_s() if interval_s else 0.0
         if wait_s > 0 and not output.closed:
             await output.wait_closed(wait_s)
