--- a/lentilroad/bench/engine.py
+++ b/lentilroad/bench/engine.py
@@ -10,7 +10,8 @@
 in tokens. An admitted request holds its whole prompt and output; a finished one
 becomes a cache entry that is evicted in least-recently-used order when an admission
 needs the room. A request that does not fit beside the admitted ones waits, in order
-of arrival. The engine has no priorities.
+of arrival. Shared prefixes stay while the engine runs: a prefix tree gives up its
+leaves first, and some program always extends them. The engine has no priorities.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 
+from lentilroad.bench.chains import Chain
 from lentilroad.bench.events import EventClock
 
 STEP_BASE_S = 0.010
@@ -95,6 +97,7 @@
         self.cached_tokens = 0
         self.cache: OrderedDict[str, int] = OrderedDict()
         self.exported: dict[str, int] = {}
+        self.shared: dict[str, int] = {}
         self._clock = clock
         self._events = events
         self._waiting: deque[EngineRequest] = deque()
@@ -135,9 +138,10 @@
         self._admit()
         self._schedule()
 
-    def preload(self, chain_id: str, tokens: int) -> None:
-        """Hold a chain's cache from the start of a run."""
-        self._store(chain_id, tokens)
+    def preload(self, chain: Chain) -> None:
+        """Hold a chain's cache and its shared prefix from the start of a run."""
+        self._share(chain.spec.shared_key, chain.spec.shared_tokens)
+        self._store(chain.chain_id, chain.own_tokens)
 
     def release(self, chain_id: str) -> None:
         """Drop what the engine caches for a chain."""
@@ -175,6 +179,7 @@
         for chain_id, tokens in self.cache.items():
             self._events.on_evict(self.name, chain_id, tokens)
         self.cache.clear()
+        self.shared.clear()
         self.exported.clear()
         self.active_tokens = self.cached_tokens = 0
         for request in lost:
@@ -227,8 +232,7 @@
         heappush(self._decoding, (request.target, self._sequence, request))
         if self._prefill:
             self._prefill_left = float(self._prefill[0].uncached_tokens)
-        if request.shared_key and request.shared_key not in self.cache:
-            self._store(request.shared_key, request.shared_tokens)
+        self._share(request.shared_key, request.shared_tokens)
         request.on_first(request)
 
     def _finish(self, request: EngineRequest) -> None:
@@ -242,7 +246,7 @@
         while self._waiting and self.running < SEQUENCES_MAX:
             request = self._waiting[0]
             size = request.own_tokens + request.output_tokens
-            if self.active_tokens and self.active_tokens + size > self.capacity_tokens:
+            if self.running and self.active_tokens + size > self.capacity_tokens:
                 return
             self._waiting.popleft()
             self._start(request, size)
@@ -251,10 +255,7 @@
         own_cached = self.cache.pop(request.chain_id, 0)
         self.cached_tokens -= own_cached
         own_cached = min(own_cached, request.own_tokens)
-        shared_cached = 0
-        if request.shared_key in self.cache:
-            shared_cached = request.shared_tokens
-            self.cache.move_to_end(request.shared_key)
+        shared_cached = self.shared.get(request.shared_key, 0)
         request.own_cached_tokens = own_cached
         request.cached_tokens = own_cached + shared_cached
         prompt = request.own_tokens + request.shared_tokens
@@ -268,6 +269,11 @@
         self._prefill.append(request)
         self._events.on_admit(self.name, request)
 
+    def _share(self, key: str, tokens: int) -> None:
+        if key not in self.shared:
+            self.shared[key] = tokens
+            self.active_tokens += tokens
+
     def _store(self, key: str, tokens: int) -> None:
         old = self.cache.pop(key, 0)
         self.cached_tokens += tokens - old
--- a/lentilroad/bench/runs.py
+++ b/lentilroad/bench/runs.py
@@ -18,6 +18,7 @@
 from lentilroad.bench.simulation import LATE_TIME_PER_TOKEN_S, Simulation, Window
 from lentilroad.bench.workload import (
     DEPLOYMENTS,
+    SHARED_TOKENS_PER_CALLER,
     TURNS_MAX,
     Deployment,
     ProgramSpec,
@@ -30,7 +31,7 @@
 FAILURE_AT_S = 60.0
 FAILURE_LASTS_S = 60.0
 RECOVERY_STEP_S = 5.0
-POPULATION_START_S = 60.0
+POPULATION_START_S = 15.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -95,10 +96,11 @@
         step_s=LATE_TIME_PER_TOKEN_S,
     )
     turn_s = means.output_tokens * LATE_TIME_PER_TOKEN_S + means.pause_s
+    shared = DEPLOYMENTS[name].callers * SHARED_TOKENS_PER_CALLER
     return Sizing(
         means=means,
         turns_per_s=rate,
-        memory_tokens=int(rate * turn_s * means.history_tokens),
+        memory_tokens=int(rate * turn_s * means.history_tokens) + shared,
     )
 
 
@@ -187,7 +189,8 @@
         simulation.arrive(make_program(deployment, random, number))
         simulation.clock.after(random.expovariate(rate), arrive)
 
-    simulation.clock.after(random.expovariate(rate), arrive)
+    first_s = POPULATION_START_S + random.expovariate(rate)
+    simulation.clock.after(first_s, arrive)
 
 
 def _start_clients(
--- a/lentilroad/bench/scheduler.py
+++ b/lentilroad/bench/scheduler.py
@@ -15,7 +15,7 @@
 from lentilroad.bench.simulation import RETRY_AFTER_FAILURE_S, Simulation
 from lentilroad.errors import OverloadedError
 from lentilroad.request.concurrency import ConcurrencyLimit
-from lentilroad.request.const import DEFAULT_OUTPUT_TOKENS
+from lentilroad.request.const import CONCURRENCY_INITIAL, DEFAULT_OUTPUT_TOKENS
 from lentilroad.request.queue import CallQueue, CallSize, QueueSettings
 from lentilroad.request.retry import next_delay_s
 from lentilroad.request.router import Router
@@ -57,7 +57,7 @@
         self.engine = engine
         self.simulation = simulation
         self.mechanisms = mechanisms
-        initial = 16 if mechanisms.concurrency else 100_000
+        initial = CONCURRENCY_INITIAL if mechanisms.concurrency else 100_000
         self.limit = ConcurrencyLimit(
             clock=clock,
             initial=initial,
@@ -84,14 +84,15 @@
             )
         except OverloadedError as error:
             attempt.refused(error)
+            return
+        self.retention.resumed(attempt.turn.chain.chain_id)
         self.pump()
 
     def _size(self, turn: Turn) -> CallSize:
         chain = turn.chain
         held = self.engine.cache.get(chain.chain_id, 0)
         held += self.engine.exported.get(chain.chain_id, 0)
-        if chain.spec.shared_key in self.engine.cache:
-            held += chain.spec.shared_tokens
+        held += self.engine.shared.get(chain.spec.shared_key, 0)
         own_tokens = turn.prompt_tokens - chain.spec.shared_tokens
         return CallSize(
             prefill_tokens=max(0, turn.prompt_tokens - held),
@@ -160,10 +161,7 @@
         attempt.popped_s = clock.now_s
         chain_id = attempt.turn.chain.chain_id
         tokens = self.engine.exported.get(chain_id, 0)
-        delay_s = 0.0
-        if self.retention.resumed(chain_id) and tokens:
-            delay_s = tokens / TRANSFER_TOKENS_PER_S
-        clock.after(delay_s, self._submit, attempt)
+        clock.after(tokens / TRANSFER_TOKENS_PER_S, self._submit, attempt)
 
     def _submit(self, attempt: Attempt) -> None:
         turn = attempt.turn
--- a/lentilroad/bench/simulation.py
+++ b/lentilroad/bench/simulation.py
@@ -186,7 +186,7 @@
         local = [e for name, e in self.engines.items() if name.startswith(region)]
         engine = min(local, key=lambda item: item.cached_tokens)
         chain.computed_tokens = chain.own_tokens
-        engine.preload(chain.chain_id, chain.own_tokens)
+        engine.preload(chain)
         self.policy.preloaded(chain, engine.name)
 
     def _chain(
--- a/lentilroad/bench/workload.py
+++ b/lentilroad/bench/workload.py
@@ -17,6 +17,8 @@
 # 6.6 million tokens/s over 27,000 requests/s.
 OUTPUT_TOKENS_MEAN = 244
 NEW_TOKENS_MEAN = 350
+# Two prompts of 2,000 and 3,000 tokens, each for programs and for sub-agents.
+SHARED_TOKENS_PER_CALLER = 2 * (2000 + 3000)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -23,7 +23,7 @@
 # for programs under way.
 NEW_PROGRAM_QUEUE_SHARE = 0.25
 # A new program that would wait longer than this is refused at once.
-NEW_PROGRAM_WAIT_MAX_S = 5.0
+NEW_PROGRAM_WAIT_MAX_S = 0.5
 # Attained service counts up to this many seconds; it bounds the extra wait of a
 # long program and so rules out starvation.
 ATTAINED_SERVICE_CAP_S = 30.0
@@ -40,7 +40,7 @@
 TIME_PER_TOKEN_TARGET_S = 0.053
 # The mean is held below the p95 target.
 TIME_PER_TOKEN_MEAN_S = 0.9 * TIME_PER_TOKEN_TARGET_S
-CONCURRENCY_INITIAL = 16
+CONCURRENCY_INITIAL = 64
 CONCURRENCY_MIN = 1
 CONCURRENCY_MAX = 512
 CONCURRENCY_WINDOW_S = 1.0
@@ -66,11 +66,11 @@
 
 # Time per token of a nearly empty batch relative to a full one.
 EMPTY_BATCH_SHARE = 0.35
-REBUILD_WEIGHT = 1.0
+REBUILD_WEIGHT = 10.0
 
 # Value of one second of a program's latency against the price of billed traffic.
 VALUE_MICRO_PER_S = 1_000.0
-PRICE_MICRO_PER_BYTE = 0.2
+PRICE_MICRO_PER_BYTE = 1.0
 CROSS_REGION_BYTES_PER_S = 200_000.0
 CROSS_REGION_BURST_S = 10.0
 
@@ -82,3 +82,6 @@
 # Share of the upstream's memory that programs under way may hold before new ones
 # are refused; the rest is for their growth.
 NEW_PROGRAM_MEMORY_SHARE = 0.85
+# Share of the memory that running calls may hold; the rest is for the cached
+# prefixes of programs that pause, and for outputs longer than expected.
+RUNNING_MEMORY_SHARE = 0.7
--- a/lentilroad/request/queue.py
+++ b/lentilroad/request/queue.py
@@ -31,6 +31,7 @@
     # Service by which one caller may be ahead of another one that waits.
     fairness_slack_s: float = const.FAIRNESS_SLACK_S
     prefill_tokens_max: int = const.ENGINE_PREFILL_TOKENS_MAX
+    running_memory_share: float = const.RUNNING_MEMORY_SHARE
     new_program_memory_share: float = const.NEW_PROGRAM_MEMORY_SHARE
 
 
@@ -343,7 +344,8 @@
     def _fits(self, size: CallSize) -> bool:
         if self._memory_tokens is None or not self._running:
             return True
-        return self._used_tokens + size.memory_tokens <= self._memory_tokens
+        room = self._settings.running_memory_share * self._memory_tokens
+        return self._used_tokens + size.memory_tokens <= room
 
     def _rank_s(
         self,
--- a/lentilroad/upstream/retention.py
+++ b/lentilroad/upstream/retention.py
@@ -135,8 +135,9 @@
 
     @property
     def held_tokens(self) -> int:
-        """Tokens cached at the upstream for paused programs."""
-        return sum(paused.tokens for paused in self._paused.values())
+        """Tokens cached or exported for programs that are paused."""
+        cached = sum(paused.tokens for paused in self._paused.values())
+        return cached + sum(self._exported.values())
 
     def paused(self, program_id: str, *, tool: str, tokens: int) -> None:
         """Record that a turn ended; `tool` is empty when it is not known."""
