--- a/lentilroad/version/distribution.py
+++ b/lentilroad/version/distribution.py
@@ -20,7 +20,7 @@
 from lentilroad.version.gossip import Addresses, Call, VersionGossip
 from lentilroad.version.model import Configuration, ConfigurationVersion, Head
 from lentilroad.version.parts import decode_head, join_configuration
-from lentilroad.version.store import Applied
+from lentilroad.version.records import Applied
 from lentilroad.version.wanted import WantedHead
 from lentilroad.version.watch import watch_head
 from lentilroad.wire.messages import (
--- a/lentilroad/version/records.py
+++ b/lentilroad/version/records.py
@@ -3,10 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from lentilroad.adapters.key_value import KeyValueStore
-from lentilroad.errors import ConflictError, NotFoundError, UnavailableError
+from lentilroad.errors import (
+    ConflictError,
+    LentilroadError,
+    NotFoundError,
+    OutcomeUnknownError,
+    UnavailableError,
+)
 from lentilroad.version.const import PART_PREFIX, VERSION_PREFIX, WRITE_ATTEMPTS
+from lentilroad.version.model import Head
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Applied:
+    """Result of an accepted change; `head_value` and `parts` can be distributed."""
+
+    head: Head
+    head_value: bytes
+    parts: dict[str, bytes]
+    # False when the text has the same effect and wording as the version in force.
+    changed: bool = True
 
 
 def version_key(version: int) -> str:
@@ -63,3 +82,24 @@
         except UnavailableError:
             await pause(attempt)
     raise unchanged_error()
+
+
+def unknown_error(write_id: str) -> OutcomeUnknownError:
+    """Return the error of a change that may have taken effect."""
+    return OutcomeUnknownError(
+        "the key-value service did not confirm the change; repeat the command with "
+        f"--write-id {write_id}, which cannot apply it twice"
+    )
+
+
+def before_write_error(write_id: str | None) -> LentilroadError:
+    """Return the error of an outage before this attempt wrote the head.
+
+    A given write id may belong to an earlier attempt that did write it.
+    """
+    return unchanged_error() if write_id is None else unknown_error(write_id)
+
+
+def same_content(head: Head, parts: dict[str, bytes], text_digests: list[str]) -> bool:
+    """Tell whether a head has these parts and this wording."""
+    return head.parts == list(parts) and head.text_parts == text_digests
--- a/lentilroad/version/store.py
+++ b/lentilroad/version/store.py
@@ -4,7 +4,6 @@
 
 import random as random_module
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 
 import eliot
 
@@ -13,7 +12,6 @@
 from lentilroad.errors import (
     ConflictError,
     NotFoundError,
-    OutcomeUnknownError,
     UnavailableError,
 )
 from lentilroad.version.conflict import conflict_error
@@ -39,25 +37,17 @@
     split_text,
 )
 from lentilroad.version.records import (
+    Applied,
+    before_write_error,
     read_part,
+    same_content,
     unchanged_error,
+    unknown_error,
     version_key,
     write_once,
 )
 from lentilroad.version.text import compile_text
 
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Applied:
-    """Result of an accepted change; `head_value` and `parts` can be distributed."""
-
-    head: Head
-    head_value: bytes
-    parts: dict[str, bytes]
-    # False when the text has the same effect and wording as the version in force.
-    changed: bool = True
-
-
 OnApplied = Callable[[Applied], Awaitable[None]]
 
 
@@ -77,6 +67,8 @@
     local_part : Callable, optional
         Returns a part that this process holds, such as `Distribution.held_part`;
         saves reads of the service.
+    new_write_id : Callable, optional
+        Returns a unique id for a change that brings none.
     """
 
     def __init__(
@@ -87,12 +79,17 @@
         random: random_module.Random | None = None,
         on_applied: OnApplied | None = None,
         local_part: Callable[[str], bytes | None] = lambda digest: None,
+        new_write_id: Callable[[], str] | None = None,
     ) -> None:
         self._key_value = key_value
         self._clock = clock
         self._random = random or random_module.SystemRandom()
         self._on_applied = on_applied
         self._local_part = local_part
+        self._new_write_id = new_write_id or self._random_write_id
+
+    def _random_write_id(self) -> str:
+        return f"{self._random.getrandbits(128):032x}"
 
     async def read_head(self) -> Head | None:
         """Return the newest accepted head, or None before the first one."""
@@ -199,8 +196,11 @@
         write_id: str | None = None,
     ) -> Applied:
         """Make the content of an earlier version the next version; see `apply`."""
-        old = await self.read_version(version)
-        parts = await self._read_parts(old.parts)
+        try:
+            old = await self.read_version(version)
+            parts = await self._read_parts(old.parts)
+        except UnavailableError as error:
+            raise before_write_error(write_id) from error
         return await self._change(
             configuration=join_configuration(parts.values()),
             parts=parts,
@@ -224,42 +224,54 @@
         write_id: str | None,
         restored: int | None = None,
     ) -> Applied:
-        item = await self._key_value.read(key=HEAD_KEY)
-        current = decode_head(item.value) if item else None
-        write_id = write_id or f"{self._random.getrandbits(128):032x}"
-        written = await self._find_written(current, based_on_version + 1, write_id)
-        if written is not None:
-            return await self._applied(written, parts)
-        if (current.version if current else 0) != based_on_version:
-            raise await self._conflict(current, based_on_version, configuration)
-        if current is not None and _same_content(current, parts, text_digests):
-            return Applied(
-                head=current,
-                head_value=encode_head(current),
-                parts=parts,
-                changed=False,
-            )
-        before = await self.read_configuration(current) if current else None
-        changes = [str(one) for one in diff_configurations(before, configuration)]
+        own_id = write_id or self._new_write_id()
+        try:
+            item = await self._key_value.read(key=HEAD_KEY)
+            current = decode_head(item.value) if item else None
+            written = await self._find_written(current, based_on_version + 1, own_id)
+            if written is not None:
+                return await self._applied(written, parts)
+            if (current.version if current else 0) != based_on_version:
+                raise await self._conflict(current, based_on_version, configuration)
+            if current is not None and same_content(current, parts, text_digests):
+                return Applied(
+                    head=current,
+                    head_value=encode_head(current),
+                    parts=parts,
+                    changed=False,
+                )
+            changes = await self._changes(current, configuration)
+            known = {*current.parts, *current.text_parts} if current else set()
+            await self._write_parts({**parts, **text_parts}, known)
+            if item is not None:
+                await self._write_once(version_key(based_on_version), item.value)
+        except UnavailableError as error:
+            raise before_write_error(write_id) from error
         head = Head(
             version=based_on_version + 1,
             parent=based_on_version,
             author=author,
             time_s=self._clock.time_s(),
-            write_id=write_id,
+            write_id=own_id,
             parts=list(parts),
             text_parts=text_digests,
             restored=restored,
-            changes=_shorten(changes),
+            changes=changes,
             action="rollback" if restored is not None else "apply",
         )
-        known = {*current.parts, *current.text_parts} if current else set()
-        await self._write_parts({**parts, **text_parts}, known)
-        if item is not None:
-            await self._write_once(version_key(based_on_version), item.value)
-        await self._swap_head(head, item, configuration)
+        head = await self._swap_head(head, item, configuration)
         return await self._applied(head, parts)
 
+    async def _changes(
+        self, current: Head | None, configuration: Configuration
+    ) -> list[str]:
+        before = await self.read_configuration(current) if current else None
+        changes = [str(one) for one in diff_configurations(before, configuration)]
+        if len(changes) <= CHANGES_IN_HEAD:
+            return changes
+        rest = len(changes) - CHANGES_IN_HEAD
+        return [*changes[:CHANGES_IN_HEAD], f"and {rest} more changes"]
+
     async def _applied(self, head: Head, parts: dict[str, bytes]) -> Applied:
         eliot.log_message(
             message_type="version:applied",
@@ -287,11 +299,11 @@
 
     async def _swap_head(
         self, head: Head, item: KeyValueItem | None, configuration: Configuration
-    ) -> None:
+    ) -> Head:
         """Replace the head; a lost answer is resolved by the write id.
 
         Every attempt expects the same revision, so at most one of them takes
-        effect, even when an earlier one arrives late.
+        effect, even when an earlier one arrives late. Returns the stored head.
         """
         may_be_written = False
         for attempt in range(WRITE_ATTEMPTS):
@@ -301,36 +313,36 @@
                     value=encode_head(head),
                     expected_revision=item.revision if item else 0,
                 )
-                return
+                return head
             except ConflictError:
-                if await self._own_write_won(head, configuration, may_be_written):
-                    return
+                written = await self._read_back(head, configuration, may_be_written)
+                if written is not None:
+                    return written
             except UnavailableError as error:
                 may_be_written = may_be_written or error.outcome != "not_run"
             await self._pause(attempt)
-        if may_be_written:
-            raise _unknown(head)
-        raise unchanged_error()
+        raise unknown_error(head.write_id) if may_be_written else unchanged_error()
 
-    async def _own_write_won(
+    async def _read_back(
         self, head: Head, configuration: Configuration, may_be_written: bool
-    ) -> bool:
-        """Tell whether a refused swap was our own earlier attempt.
+    ) -> Head | None:
+        """Return the stored head if a refused swap was our own earlier attempt.
 
-        Returns False when that cannot be read at the moment.
+        Returns None when that cannot be read at the moment.
         """
         try:
             current = await self.read_head()
-            if await self._find_written(current, head.version, head.write_id):
-                return True
+            written = await self._find_written(current, head.version, head.write_id)
         except UnavailableError as error:
             if may_be_written:
-                return False
+                return None
             raise ConflictError(
                 "another operator changed the configuration first, and the "
                 "key-value service is unavailable; run `lentilroad history` later"
             ) from error
-        raise await self._conflict(current, head.parent, configuration)
+        if written is None:
+            raise await self._conflict(current, head.parent, configuration)
+        return written
 
     async def _conflict(
         self, current: Head | None, based_on_version: int, wanted: Configuration
@@ -371,21 +383,3 @@
     async def _pause(self, attempt: int) -> None:
         delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**attempt)
         await self._clock.sleep(delay_s * self._random.uniform(0.5, 1.0))
-
-
-def _unknown(head: Head) -> OutcomeUnknownError:
-    return OutcomeUnknownError(
-        f"the key-value service did not confirm version {head.version}; repeat the "
-        f"command with --write-id {head.write_id}, which cannot apply it twice"
-    )
-
-
-def _shorten(changes: list[str]) -> list[str]:
-    if len(changes) <= CHANGES_IN_HEAD:
-        return changes
-    rest = len(changes) - CHANGES_IN_HEAD
-    return [*changes[:CHANGES_IN_HEAD], f"and {rest} more changes"]
-
-
-def _same_content(head: Head, parts: dict[str, bytes], text_digests: list[str]) -> bool:
-    return head.parts == list(parts) and head.text_parts == text_digests
