--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -49,3 +49,8 @@
 # JSON escapes can double the size of a text.
 REQUEST_MAX_BYTES = 2 * TEXT_MAX_BYTES + 100_000
 STATUS_SHOWN_BEHIND = 20
+
+RECONCILE_PREFIX = "reconcile/"
+# Share of a name's workers that load a proven version at the same time.
+ROLLOUT_SHARE = 0.1
+WEIGHT_STORE_BURST_S = 10.0
