--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -11,7 +11,8 @@
 # A changed caller or service re-sends one part of about this size to every process.
 # With 32 kB parts, 16,000 changes a day cost 7 kB/s per node of the allowed 12 kB/s.
 PART_TARGET_BYTES = 4_096
-LINES_PER_TEXT_PART = 256
+# A change stores about this many lines of the operator's text again.
+LINES_PER_TEXT_PART = 96
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
 # The head travels to every process, so its list of changes is bounded.
--- a/lentilroad/version/distribution.py
+++ b/lentilroad/version/distribution.py
@@ -377,7 +377,11 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         for listener in self._listeners:
-            listener(self._current)
+            try:
+                listener(self._current)
+            except Exception:
+                # A faulty listener must not end the distribution.
+                eliot.write_traceback()
 
     def _note_error(self, text: str) -> None:
         if text != self._last_error:
--- a/lentilroad/yaml_values.py
+++ b/lentilroad/yaml_values.py
@@ -14,30 +14,32 @@
 _ADDRESS = re.compile(r"(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):([0-9]{1,5})\Z")
 
 
-def whole(minimum: int = 0, maximum: int | None = None) -> Validator:
+# Largest whole number that JSON readers keep exactly; messages carry 64 bits.
+WHOLE_MAX = 2**53
+
+
+def whole(minimum: int = 0, maximum: int = WHOLE_MAX) -> Validator:
     """Accept a whole number in a closed range."""
-    upper = f" and at most {maximum}" if maximum is not None else ""
-    expected = f"a whole number of at least {minimum}{upper}"
+    expected = f"a whole number of at least {minimum} and at most {maximum}"
 
     def check(value: Any) -> int:
         if isinstance(value, bool) or not isinstance(value, int):
             raise vol.Invalid(expected)
-        if value < minimum or (maximum is not None and value > maximum):
+        if not minimum <= value <= maximum:
             raise vol.Invalid(expected)
         return value
 
     return check
 
 
-def number(minimum: float = 0.0, maximum: float | None = None) -> Validator:
-    """Accept a number in a closed range."""
-    upper = f" and at most {maximum:g}" if maximum is not None else ""
-    expected = f"a number of at least {minimum:g}{upper}"
+def number(minimum: float = 0.0, maximum: float = WHOLE_MAX) -> Validator:
+    """Accept a finite number in a closed range."""
+    expected = f"a number of at least {minimum:g} and at most {maximum:g}"
 
     def check(value: Any) -> float:
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise vol.Invalid(expected)
-        if not minimum <= value <= (float("inf") if maximum is None else maximum):
+        if not minimum <= value <= maximum:
             raise vol.Invalid(expected)
         return float(value)
 
--- a/tests/version/test_check.py
+++ b/tests/version/test_check.py
@@ -173,3 +173,12 @@
     )
     problem = _problem(text)
     assert problem.found.startswith("the cycle s0 -> s1 -> ")
+
+
+@pytest.mark.parametrize("value", ["99999999999999999999999999", ".inf", ".nan"])
+def test_number_that_cannot_be_sent_is_refused(value):
+    """A number that the wire cannot carry would fail after the check."""
+    text = TEXT.replace("turns: 80", f"turns: {value}")
+    assert _problem(text).key_path == "budget.turns"
+    text = TEXT.replace("requests_per_s: 400", f"requests_per_s: {value}")
+    assert _problem(text).key_path == "limits.requests_per_s"
