Log programs that their owner does not know

Cause: a run of the demonstration under load lost programs after planned moves, and the log did not show where. Change: the owner logs a request for an unknown program. Conclusion: the move decided by the key-value service is suspected.

--- a/lentilroad/program/owned.py
+++ b/lentilroad/program/owned.py
@@ -99,6 +99,12 @@
         """
         program = self.programs(shard).get(program_id)
         if program is None or program.state.caller_id != caller_id:
+            log_message(
+                message_type="program:not_found",
+                program_id=program_id,
+                epoch=self._shard_table.my_epoch(shard),
+                programs=len(self.programs(shard)),
+            )
             raise NotFoundError(
                 f"program {program_id} does not exist; open it, or check its id"
             )
