Tell owners that missed epochs, keep two-entry shards serving in an outage

An owner that slept through epochs of another one and was then named again was told on_changed; it is now told on_lost and on_gained, because its programs may lack commits. Moves of shards without an arbiter froze commits until the key-value service answered; they now only exchange the pair and freeze nothing. A draining entry stays out of service also while it is suspect, and an entry that refuses connections gets no role.

--- a/lentilroad/connection/peers.py
+++ b/lentilroad/connection/peers.py
@@ -168,6 +168,10 @@
         finally:
             self._end(peer)
 
+    def open_addresses(self) -> list[str]:
+        """Return the addresses of peers with a connection."""
+        return list(self._peers)
+
     async def close(self) -> None:
         """Close all connections; open calls fail with `UnavailableError`."""
         watchers = []
--- a/lentilroad/membership/const.py
+++ b/lentilroad/membership/const.py
@@ -43,6 +43,9 @@
 # may be lost on one connection that went silent.
 OWNER_PROBE_AFTER_S = 1.0
 PAIR_CALL_TIMEOUT_S = 0.4
+# How long an entry that refused a connection gets no new role; the probes have
+# found its death by then.
+REFUSED_FOR_S = 5.0
 GRANT_TIMEOUT_S = 0.4
 # Time that the probes have called an arbiter dead before it is replaced.
 ARBITER_LOST_AFTER_S = 1.0
--- a/lentilroad/membership/members.py
+++ b/lentilroad/membership/members.py
@@ -54,6 +54,10 @@
     )
 
 
+def _takes_work(record: PeerRecord) -> bool:
+    return record.state in ("alive", "suspect") and not record.draining
+
+
 class Members:
     """Entries by region, kept by probes among them.
 
@@ -152,7 +156,9 @@
 
     def drain(self) -> None:
         """Announce that this entry stops: it gets no new shards or sidecars."""
-        self._announce(state="draining", incarnation=self._me.incarnation + 1)
+        self._announce(
+            state="draining", draining=True, incarnation=self._me.incarnation + 1
+        )
 
     def set_config_version(self, version: int) -> None:
         """Announce the configuration version that is in force here."""
--- a/lentilroad/membership/moves.py
+++ b/lentilroad/membership/moves.py
@@ -83,7 +83,7 @@
         """Go on with a move whose decision was not answered."""
         promise = state.promise
         if promise is None:
-            state.frozen = self._store.has_proposal(state.name)
+            state.frozen = False
             return False
         base = state.record
         moved = await self._decide(state, base, promise.record)
@@ -103,13 +103,32 @@
         )
         if (wanted.owner, wanted.standby) == (record.owner, record.standby):
             return None
-        if not wanted.standby and record.standby:
+        if not record.standby or not (wanted.standby or self._pair_drains(record)):
             return None
-        # A sole owner that stays one is extended, not moved.
-        if not record.standby and wanted.owner == record.owner:
+        if not record.arbiter:
+            self._change_by_map(state, wanted)
             return None
         return wanted
 
+    def _pair_drains(self, record: ShardRecord) -> bool:
+        """Return whether the shard must do with fewer entries."""
+        pair = (record.owner, record.standby)
+        return any(self._members.state_of(address) == "draining" for address in pair)
+
+    def _change_by_map(self, state: ShardState, wanted: ShardRecord) -> None:
+        """Change the pair of a shard without an arbiter, by CAS.
+
+        Only its own entries become the owner. The standby has every commit, and
+        acknowledges none of the old epoch once it knows the new one, so commits go
+        on until the answer arrives. Other entries are named only after an arbiter
+        is there.
+        """
+        base = state.record
+        swapped = wanted.owner == base.standby and wanted.standby in ("", base.owner)
+        alone = wanted.owner == base.owner and not wanted.standby
+        if swapped or alone:
+            self._store.propose(state.name, base, wanted)
+
     async def _move(self, state: ShardState, wanted: ShardRecord) -> bool:
         base = state.record
         if not await self._copy_shard(state.name, wanted, False):
@@ -124,9 +143,7 @@
             moved = await self._decide(state, base, wanted)
         finally:
             if state.record is base:
-                state.frozen = state.promise is not None or self._store.has_proposal(
-                    state.name
-                )
+                state.frozen = state.promise is not None
         if moved:
             eliot.log_message(
                 message_type="membership:shard_moved",
@@ -139,9 +156,6 @@
     async def _decide(
         self, state: ShardState, base: ShardRecord, wanted: ShardRecord
     ) -> bool:
-        if not base.arbiter:
-            self._store.propose(state.name, base, wanted)
-            return False
         decided = await self._succession.decide(state, base, wanted, base.standby)
         if decided:
             self._store.wake()
--- a/lentilroad/membership/pairs.py
+++ b/lentilroad/membership/pairs.py
@@ -12,6 +12,7 @@
     HEARTBEAT_EPOCHS,
     HEARTBEAT_RECORDS,
     PAIR_CALL_TIMEOUT_S,
+    REFUSED_FOR_S,
 )
 from lentilroad.membership.members import Call
 from lentilroad.membership.shard_state import ShardRecords, ShardState
@@ -23,7 +24,7 @@
 class _Partner:
     heard_s: float
     started_ms: int = 0
-    refused: bool = False
+    refused_s: float | None = None
     task: asyncio.Task[None] | None = None
     rotation: int = 0
 
@@ -53,16 +54,18 @@
         return partner is not None and partner.started_ms > started_ms > 0
 
     def refused(self, address: str) -> bool:
-        """Return whether the last connection to an entry was refused."""
+        """Return whether an entry refused a connection a moment ago."""
         partner = self._partners.get(address)
-        return partner is not None and partner.refused
+        if partner is None or partner.refused_s is None:
+            return False
+        return self._clock.monotonic_s() - partner.refused_s < REFUSED_FOR_S
 
     def heard(self, address: str, started_ms: int) -> None:
         """Note that an entry gave a sign of life."""
         partner = self._partner(address)
         partner.heard_s = self._clock.monotonic_s()
         partner.started_ms = max(partner.started_ms, started_ms)
-        partner.refused = False
+        partner.refused_s = None
 
     def restart_timers(self) -> None:
         """Count silence from now on, after this process itself was paused."""
@@ -122,7 +125,8 @@
                 address, PAIR_HEARTBEAT, request, PAIR_CALL_TIMEOUT_S
             )
         except LentilroadError as error:
-            partner.refused = error.outcome == "not_run"
+            if error.outcome == "not_run":
+                partner.refused_s = self._clock.monotonic_s()
             return
         self.heard(address, reply.incarnation)
         self._learn(address, reply)
--- a/lentilroad/membership/shard_state.py
+++ b/lentilroad/membership/shard_state.py
@@ -69,6 +69,9 @@
         self.started_ms = started_ms
         self.states: dict[str, ShardState] = {}
         self.maps: dict[str, RegionMap] = {}
+        # Records that this owner proposed through the map: it stays the owner without
+        # a gap when one of them comes into force.
+        self.proposed: dict[str, ShardRecord] = {}
         # Shards whose record this entry must write to the map.
         self.unwritten: set[str] = set()
         self._clock = clock
@@ -104,7 +107,9 @@
         """Return the shards whose record in force names this process as standby."""
         return [state for state in self.states.values() if self.stands_by(state.record)]
 
-    def learn(self, shard: str, record: ShardRecord) -> bool:
+    def learn(
+        self, shard: str, record: ShardRecord, *, decided_here: bool = False
+    ) -> bool:
         """Take over a record in force; return whether it is newer than the known one.
 
         A standby may take over from a record that it learned from others, except
@@ -128,27 +133,34 @@
         if state.promise is not None and state.promise.record.epoch <= record.epoch:
             state.promise = None
         self._updates[shard] = PIGGYBACK_REPEATS
-        self._report(shard, record, owned=owned)
+        proposed = self.proposed.pop(shard, None)
+        self._report(
+            shard, record, owned=owned, kept=decided_here or proposed == record
+        )
         return True
 
-    def _report(self, shard: str, record: ShardRecord, *, owned: bool) -> None:
+    def _report(
+        self, shard: str, record: ShardRecord, *, owned: bool, kept: bool
+    ) -> None:
+        """Call back; `kept` tells that no other entry owned the shard in between."""
         owns = self.owns(record)
-        if owns and owned:
+        if owns and owned and kept:
             self._on_changed(shard, record)
-        elif owns:
-            eliot.log_message(
-                message_type="membership:shard_gained", shard=shard, epoch=record.epoch
-            )
-            self._on_gained(shard, record)
-        elif owned:
+            return
+        if owned:
             eliot.log_message(
                 message_type="membership:shard_lost", shard=shard, epoch=record.epoch
             )
             self._on_lost(shard)
+        if owns:
+            eliot.log_message(
+                message_type="membership:shard_gained", shard=shard, epoch=record.epoch
+            )
+            self._on_gained(shard, record)
 
     def decide(self, shard: str, record: ShardRecord) -> None:
         """Put a record in force that this entry proposed and that was granted."""
-        if self.learn(shard, record):
+        if self.learn(shard, record, decided_here=True):
             self.unwritten.add(shard)
 
     def adopt_map(
--- a/lentilroad/membership/shard_store.py
+++ b/lentilroad/membership/shard_store.py
@@ -76,6 +76,7 @@
         if waiting is not None and waiting[0] is base:
             return
         self._proposals[shard] = (base, record)
+        self._records.proposed[shard] = record
         self._wanted.set()
 
     def withdraw(self, shard: str, *, owner: str, standby: str) -> None:
--- a/lentilroad/membership/succession.py
+++ b/lentilroad/membership/succession.py
@@ -102,7 +102,8 @@
                 self._extend(state)
             return
         if not self._standby_lost(state):
-            self._map_changes.withdraw(state.name, owner=record.owner, standby="")
+            if self._members.state_of(record.standby) != "draining":
+                self._map_changes.withdraw(state.name, owner=record.owner, standby="")
             if not record.arbiter or self._gone(
                 record.arbiter, record.arbiter_started_ms, for_s=ARBITER_LOST_AFTER_S
             ):
@@ -286,8 +287,14 @@
         )
 
     def _entries(self, *, taken: list[str]) -> list[str]:
-        alive = self._members.alive_entries(self._region)
-        return [address for address in alive if address not in taken]
+        """Return entries that can take a role now."""
+        return [
+            address
+            for address in self._members.alive_entries(self._region)
+            if address not in taken
+            and self._members.state_of(address) == "alive"
+            and not self._pairs.refused(address)
+        ]
 
     def _far_entries(self) -> list[str]:
         return [
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -360,6 +360,8 @@
     incarnation: int
     state: Literal["alive", "suspect", "draining", "dead"] = "alive"
     config_version: int = 0
+    # The entry stops; kept also while its state is suspect.
+    draining: bool = False
     # Start of the process in Unix milliseconds; a restart has a larger one, while
     # the incarnation also rises when the entry refutes a suspicion.
     started_ms: int = 0
--- a/tests/connection/test_peers.py
+++ b/tests/connection/test_peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import aclosing, asynccontextmanager
+from contextlib import aclosing, asynccontextmanager, suppress
 
 import pytest
 
@@ -144,3 +144,84 @@
         assert (await first).granted
         await closing
     assert caught.value.outcome == "not_run"
+
+
+@asynccontextmanager
+async def mute_server():
+    """Accept connections and answer nothing."""
+
+    async def swallow(reader, writer):
+        while await reader.read(65536):
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(swallow, "127.0.0.1", 0)
+    try:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+
+
+async def test_silent_connection_fails_its_open_calls():
+    """A call without a deadline must not hang on a connection that went silent."""
+    silent = []
+    peers = PeerConnections(clock=SystemClock(), on_silent=silent.append)
+    async with mute_server() as address:
+        with pytest.raises(UnavailableError) as caught:
+            await peers.call(address, GRANT, REQUEST, None)
+        await asyncio.sleep(0)
+        assert silent == [address]
+        await peers.close()
+    assert caught.value.outcome == "unknown"
+
+
+async def test_calls_that_time_out_one_after_another_count_as_one_silence():
+    """Short heartbeats must not keep a silent connection open for good."""
+    silent = asyncio.Event()
+    peers = PeerConnections(clock=SystemClock(), on_silent=lambda _: silent.set())
+    async with mute_server() as address:
+        while not silent.is_set():
+            with pytest.raises(UnavailableError):
+                await peers.call(address, GRANT, REQUEST, 0.2)
+            await asyncio.sleep(0.05)
+        await peers.close()
+
+
+async def test_stream_with_pauses_stays_open():
+    """A peer that answers pings must not be closed while a stream is quiet."""
+    proceed = asyncio.Event()
+    asyncio.get_running_loop().call_later(2.0, proceed.set)
+
+    async def chunks(request):
+        yield OutputChunk(offset=0, text="a")
+        await proceed.wait()
+        yield OutputChunk(offset=1, text="b")
+
+    async with connected({ATTACH: chunks}) as (server, peers):
+        request = AttachRequest(call_id="c")
+        stream = peers.stream(server.address, ATTACH, request, None)
+        assert [chunk.text async for chunk in stream] == ["a", "b"]
+
+
+async def test_idle_connection_is_closed_and_opened_again():
+    """Connections to peers that are no longer used must not pile up."""
+    async with connected({GRANT: _grant}, idle_close_s=0.01) as (server, peers):
+        await peers.call(server.address, GRANT, REQUEST, 5.0)
+        # The watching task looks at the connection every 500 ms.
+        await asyncio.sleep(1.0)
+        assert peers.open_addresses() == []
+        assert (await peers.call(server.address, GRANT, REQUEST, 5.0)).granted
+
+
+async def test_connection_that_was_closed_by_the_peer_is_replaced():
+    """A restarted peer must be reachable once the closed connection was noticed."""
+    async with connected({GRANT: _grant}) as (server, peers):
+        await peers.call(server.address, GRANT, REQUEST, 5.0)
+        await server.close()
+        again = await start_server({GRANT: _grant}, "127.0.0.1", server.port)
+        with suppress(UnavailableError):
+            await peers.call(again.address, GRANT, REQUEST, 5.0)
+        reply = await peers.call(again.address, GRANT, REQUEST, 5.0)
+        await again.close()
+    assert reply.granted
--- a/tests/fakes/entries.py
+++ b/tests/fakes/entries.py
@@ -158,7 +158,7 @@
 
     async def _commit_loop(self, clock):
         while True:
-            await clock.sleep(COMMIT_INTERVAL_S)
+            await clock.sleep(self.group.commit_interval_s)
             for shard in self.table.shards_owned():
                 await self._commit(shard)
 
@@ -195,6 +195,8 @@
         self.nodes = {}
         # Pairs of addresses whose messages vanish in that direction.
         self.silent_links = set()
+        self.latency_s = LATENCY_S
+        self.commit_interval_s = COMMIT_INTERVAL_S
         self.counts = defaultdict(int)
         self._accepted = []
         self._acknowledged = set()
@@ -213,7 +215,7 @@
             raise UnavailableError("no answer in time", outcome="unknown") from None
 
     async def _deliver(self, sender, address, method, request):
-        await asyncio.sleep(self.random.uniform(*LATENCY_S))
+        await asyncio.sleep(self.random.uniform(*self.latency_s))
         node = self.nodes.get(address)
         if (sender.address, address) in self.silent_links:
             await asyncio.sleep(3600)
@@ -223,7 +225,7 @@
         # The peer handles a request even when the sender has given up on it.
         handling = asyncio.ensure_future(self._handle(node, method, encoded))
         reply = await asyncio.shield(handling)
-        await asyncio.sleep(self.random.uniform(*LATENCY_S))
+        await asyncio.sleep(self.random.uniform(*self.latency_s))
         if (address, sender.address) in self.silent_links:
             await asyncio.sleep(3600)
         if reply is None:
--- /dev/null
+++ b/tests/membership/test_shard_state.py
@@ -0,0 +1,163 @@
+"""Guard the grant rules that succession rests on."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilroad.membership.shard_state import Promise, ShardRecords
+from lentilroad.wire.messages import GrantRequest, ShardRecord
+from tests.membership.test_sidecars import ManualClock
+
+SHARD = "r1/0000"
+BASE = ShardRecord(
+    epoch=5,
+    owner="o",
+    standby="s",
+    arbiter="a",
+    owner_started_ms=1,
+    standby_started_ms=1,
+    arbiter_started_ms=1,
+)
+
+
+def make_records(address, started_ms=1):
+    """Return the records of one entry, and the log of its callbacks."""
+    log = []
+    records = ShardRecords(
+        address=address,
+        started_ms=started_ms,
+        clock=ManualClock(),
+        on_gained=lambda shard, record: log.append(("gained", record.epoch)),
+        on_lost=lambda shard: log.append(("lost",)),
+        on_changed=lambda shard, record: log.append(("changed", record.epoch)),
+    )
+    return records, log
+
+
+def proposal(proposer, *, epoch=6, owner=None, standby="a", arbiter="b"):
+    """Return a request for the record after BASE."""
+    record = ShardRecord(
+        epoch=epoch, owner=owner or proposer, standby=standby, arbiter=arbiter
+    )
+    return GrantRequest(shard=SHARD, record=record, base=BASE, proposer=proposer)
+
+
+@pytest.mark.parametrize("order", [("o", "s"), ("s", "o")])
+def test_arbiter_grants_the_next_epoch_once(order):
+    """Owner and standby that cannot hear each other must not both go on."""
+    records, _ = make_records("a")
+    first, second = (proposal(proposer) for proposer in order)
+    assert records.grant(first).granted
+    reply = records.grant(second)
+    assert not reply.granted
+    assert reply.highest == first.record
+    assert not reply.in_force
+    # A higher number does not help: the first grant may already be in force.
+    assert not records.grant(proposal(order[1], epoch=9)).granted
+
+
+def test_repeated_request_gets_the_same_answer():
+    """A lost answer must not block the proposer."""
+    records, _ = make_records("a")
+    assert records.grant(proposal("s")).granted
+    assert records.grant(proposal("s")).granted
+
+
+def test_restarted_arbiter_grants_nothing():
+    """A process that has forgotten its grants must not grant again."""
+    records, _ = make_records("a", started_ms=2)
+    assert not records.grant(proposal("s")).granted
+
+
+def test_entry_outside_the_record_neither_proposes_nor_grants():
+    """Only the three named entries decide about the next record."""
+    records, _ = make_records("a")
+    assert not records.grant(proposal("x")).granted
+    records, _ = make_records("x")
+    assert not records.grant(proposal("s")).granted
+
+
+def test_owner_never_gives_way_to_its_standby():
+    """A standby needs the arbiter, or two entries would serve at once."""
+    records, _ = make_records("o")
+    records.learn(SHARD, BASE)
+    assert not records.grant(proposal("s", standby="o")).granted
+
+
+def test_later_record_refuses_an_old_proposal():
+    """A woken owner must be refused and told what is in force."""
+    records, _ = make_records("a")
+    later = ShardRecord(epoch=6, owner="s", standby="a", arbiter="b")
+    records.learn(SHARD, later)
+    reply = records.grant(proposal("o", epoch=7))
+    assert (reply.granted, reply.highest, reply.in_force) == (False, later, True)
+
+
+def test_standby_gives_up_its_own_proposal_for_the_owners():
+    """A dead arbiter must be replaceable after a takeover that got no answer."""
+    records, _ = make_records("s")
+    records.learn(SHARD, BASE)
+    own = proposal("s").record
+    records.states[SHARD].promise = Promise(record=own, proposer="s")
+    assert not records.grant(proposal("o", epoch=6, standby="s")).granted
+    assert records.grant(proposal("o", epoch=7, standby="s")).granted
+    assert records.states[SHARD].promise.record.epoch == 7
+
+
+def test_granted_epoch_is_in_force_only_after_its_owner_acts():
+    """A grant that its proposer gave up must not make the arbiter a standby."""
+    records, _ = make_records("a")
+    records.learn(SHARD, BASE)
+    assert records.grant(proposal("s")).granted
+    assert records.states[SHARD].record == BASE
+    assert records.standing_by() == []
+    assert not records.accepts(SHARD, 6, "o")
+    assert records.accepts(SHARD, 6, "s")
+    assert records.states[SHARD].record.epoch == 6
+    assert not records.accepts(SHARD, 5, "o")
+
+
+def test_standby_of_a_sole_owner_waits_for_its_first_message():
+    """The owner may not know the record yet and still commit alone."""
+    records, _ = make_records("s")
+    record = ShardRecord(epoch=3, owner="o", standby="s", from_sole_owner=True)
+    records.learn(SHARD, record)
+    assert not records.states[SHARD].activated
+    assert records.accepts(SHARD, 3, "o")
+    assert records.states[SHARD].activated
+
+
+def test_callbacks_tell_gain_change_and_loss():
+    """The program package must drop and take over programs at the right time."""
+    records, log = make_records("o")
+    records.learn(SHARD, BASE)
+    records.decide(SHARD, ShardRecord(epoch=6, owner="o", standby="a"))
+    records.learn(SHARD, ShardRecord(epoch=5, owner="x"))
+    records.learn(SHARD, ShardRecord(epoch=7, owner="a", standby="x"))
+    assert log == [("gained", 5), ("changed", 6), ("lost",)]
+
+
+def test_owner_that_missed_epochs_loses_and_gains():
+    """Its programs may lack what another owner committed in between."""
+    records, log = make_records("o")
+    records.learn(SHARD, BASE)
+    records.learn(SHARD, ShardRecord(epoch=8, owner="o", standby="a"))
+    assert log == [("gained", 5), ("lost",), ("gained", 8)]
+
+
+def test_owner_keeps_the_shard_under_its_own_proposal():
+    """A standby named by CAS must not make the owner drop its programs."""
+    records, log = make_records("o")
+    records.learn(SHARD, BASE)
+    extended = ShardRecord(epoch=6, owner="o", standby="x")
+    records.proposed[SHARD] = extended
+    records.learn(SHARD, extended)
+    assert log == [("gained", 5), ("changed", 6)]
+
+
+def test_record_of_an_earlier_process_gives_no_ownership():
+    """A restarted entry has no programs and must not answer as their owner."""
+    records, log = make_records("o", started_ms=2)
+    records.learn(SHARD, BASE)
+    assert records.owned() == []
+    assert log == []
--- a/tests/membership/test_shards_random.py
+++ b/tests/membership/test_shards_random.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lentilroad.standins.virtual_loop import run_virtual
-from tests.fakes.entries import running_group
+from tests.fakes.entries import LATENCY_S, running_group
 
 SEEDS_PER_TEST = 20
 
@@ -66,6 +66,28 @@
     group.silent_links -= links
 
 
+async def _slow_network(group, random):
+    """Delays near the time limits leave grants unanswered that took effect."""
+    before = group.latency_s
+    group.latency_s = (0.0, random.choice([0.1, 0.3, 0.6]))
+    await asyncio.sleep(random.uniform(2, 8))
+    group.latency_s = before
+
+
+async def _pair_cut_on_a_slow_network(group, random):
+    """Owner and standby both turn to the arbiter."""
+    slow = asyncio.create_task(_slow_network(group, random))
+    shard = random.choice(sorted(group.shards()))
+    node = next((n for n in group.nodes.values() if n.alive), None)
+    if node is not None and shard in node.table.shards("r1"):
+        record = node.table.record(shard)
+        links = {(record.owner, record.standby), (record.standby, record.owner)}
+        group.silent_links |= links
+        await asyncio.sleep(random.uniform(2, 5))
+        group.silent_links -= links
+    await slow
+
+
 FAULTS = [
     _kill_and_restart,
     _kill_and_restart,
@@ -76,6 +98,9 @@
     _key_value_loses_answers,
     _silent_link,
     _isolate,
+    _slow_network,
+    _pair_cut_on_a_slow_network,
+    _pair_cut_on_a_slow_network,
 ]
 
 
@@ -93,6 +118,7 @@
         for node in group.nodes.values():
             node.wake()
         group.silent_links.clear()
+        group.latency_s = LATENCY_S
         await group.until_served(90)
         group.assert_single_owner()
 
