--- a/lentilroad/membership/moves.py
+++ b/lentilroad/membership/moves.py
@@ -72,27 +72,17 @@
     async def _move_next(self) -> bool:
         """Move the first shard that is out of place; return whether one moved."""
         for state in self._records.owned():
-            if state.frozen:
-                return await self._resume(state)
             wanted = self._wanted(state)
             if wanted is not None:
                 return await self._move(state, wanted)
         return False
 
-    async def _resume(self, state: ShardState) -> bool:
-        """Go on with a move whose decision was not answered."""
-        promise = state.promise
-        if promise is None:
-            state.frozen = False
-            return False
-        base = state.record
-        moved = await self._decide(state, base, promise.record)
-        if not moved and state.record is base and state.promise is None:
-            state.frozen = False
-        return moved
-
     def _wanted(self, state: ShardState) -> ShardRecord | None:
-        if state.promise is not None or self._store.has_proposal(state.name):
+        if (
+            state.frozen
+            or state.promise is not None
+            or self._store.has_proposal(state.name)
+        ):
             return None
         record = state.record
         wanted = desired_record(
--- a/lentilroad/membership/shard_store.py
+++ b/lentilroad/membership/shard_store.py
@@ -56,7 +56,7 @@
         clock: Clock,
         random: Random,
     ) -> None:
-        self.available = True
+        self._failed_s: float | None = None
         self._region = region
         self._key = SHARD_MAP_KEY_PREFIX + region
         self._shard_count = shard_count
@@ -70,6 +70,13 @@
         self._wanted = asyncio.Event()
         self._pulls: dict[str, asyncio.Task[None]] = {}
 
+    @property
+    def available(self) -> bool:
+        """Return whether the service answered lately, as far as this entry tried."""
+        if self._failed_s is None:
+            return True
+        return self._clock.monotonic_s() - self._failed_s > MAP_WATCH_TIMEOUT_S
+
     def propose(self, shard: str, base: ShardRecord, record: ShardRecord) -> None:
         """Replace the record after `base` by CAS, as soon as possible."""
         waiting = self._proposals.get(shard)
@@ -136,9 +143,9 @@
         try:
             item = await self._key_value.read(key=self._key)
         except LentilroadError:
-            self.available = False
+            self._failed_s = self._clock.monotonic_s()
             return False
-        self.available = True
+        self._failed_s = None
         if item is not None:
             self._adopt(item)
         return True
@@ -165,10 +172,10 @@
                     timeout_s=MAP_WATCH_TIMEOUT_S,
                 )
             except LentilroadError:
-                self.available = False
+                self._failed_s = self._clock.monotonic_s()
                 await self._clock.sleep(MAP_RETRY_S * self._random.uniform(0.5, 1.0))
                 continue
-            self.available = True
+            self._failed_s = None
             if item is not None:
                 self._adopt(item)
 
@@ -216,7 +223,7 @@
     async def _load_stored(self) -> bool:
         try:
             item = await self._key_value.read(key=self._key)
-            self.available = True
+            self._failed_s = None
             if item is not None:
                 self._adopt(item)
                 return True
@@ -224,7 +231,7 @@
         except ConflictError:
             return False
         except UnavailableError:
-            self.available = False
+            self._failed_s = self._clock.monotonic_s()
             return False
         return False
 
@@ -254,7 +261,7 @@
             return True
         try:
             item = await self._key_value.read(key=self._key)
-            self.available = True
+            self._failed_s = None
             if item is None:
                 return False
             self._adopt(item)
@@ -270,7 +277,7 @@
         except ConflictError:
             return False
         except UnavailableError:
-            self.available = False
+            self._failed_s = self._clock.monotonic_s()
             return False
         eliot.log_message(message_type="membership:map_written", revision=revision)
         self._adopt(KeyValueItem(key=self._key, value=value, revision=revision))
--- a/lentilroad/membership/succession.py
+++ b/lentilroad/membership/succession.py
@@ -97,6 +97,8 @@
 
     def _tick_owned(self, state: ShardState) -> None:
         record = state.record
+        if state.frozen and state.promise is not None:
+            self._start(state, self._finish_move)
         if not record.standby:
             if self._entries(taken=[record.owner]):
                 self._extend(state)
@@ -135,6 +137,17 @@
         else:
             self._propose_to_map(state, owner=self._records.address, standby="")
 
+    async def _finish_move(self, state: ShardState) -> None:
+        """Go on with a planned move whose decision was not answered."""
+        promise = state.promise
+        if promise is None:
+            return
+        if self._members.state_of(promise.record.owner) == "alive":
+            base = state.record
+            await self.decide(state, base, promise.record, base.standby)
+        else:
+            await self._replace_arbiter(state)
+
     def _standby_lost(self, state: ShardState) -> bool:
         record = state.record
         if self._pairs.restarted(record.standby, record.standby_started_ms):
@@ -234,6 +247,7 @@
 
     def _refused(self, state: ShardState, reply: GrantReply) -> None:
         state.promise = None
+        state.frozen = False
         if reply.in_force and reply.highest is not None:
             self._records.learn(state.name, reply.highest)
 
