Free an arbiter's grant when the process that got it has ended

The arbiter now agrees to a later proposal once a later process runs at that address; only the ended process could have used the grant, and no commit under it was acknowledged by this arbiter.

--- a/lentilroad/membership/members.py
+++ b/lentilroad/membership/members.py
@@ -154,6 +154,11 @@
             return 0.0
         return self._clock.monotonic_s() - peer.changed_s
 
+    def process_ended(self, address: str, started_ms: int) -> bool:
+        """Return whether a later process runs at the address than the given one."""
+        peer = self.peer(address)
+        return peer is not None and peer.started_ms > started_ms > 0
+
     def drain(self) -> None:
         """Announce that this entry stops: it gets no new shards or sidecars."""
         self._announce(
--- a/lentilroad/membership/shard_state.py
+++ b/lentilroad/membership/shard_state.py
@@ -32,6 +32,8 @@
     activated: bool = False
     confirmed: bool = False
     promise: Promise | None = None
+    # Highest epoch that a refusal named; later proposals stay above it.
+    refused_epoch: int = 0
     # A planned move copies the last changes; commits are refused.
     frozen: bool = False
     # Map revision that brought the record; 0 while it is not in the map.
@@ -64,6 +66,7 @@
         on_gained: Callable[[str, ShardRecord], None],
         on_lost: Callable[[str], None],
         on_changed: Callable[[str, ShardRecord], None],
+        process_ended: Callable[[str, int], bool],
     ) -> None:
         self.address = address
         self.started_ms = started_ms
@@ -78,6 +81,7 @@
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._on_changed = on_changed
+        self._process_ended = process_ended
         self._updates: dict[str, int] = {}
 
     def is_me(self, address: str, started_ms: int) -> bool:
@@ -238,9 +242,8 @@
         state = self.states.get(shard)
         if state is None:
             return 0
-        if state.promise is not None:
-            return max(state.record.epoch, state.promise.record.epoch)
-        return state.record.epoch
+        promised = state.promise.record.epoch if state.promise else 0
+        return max(state.record.epoch, state.refused_epoch, promised)
 
     def grant(self, request: GrantRequest) -> GrantReply:
         """Decide about a proposal for the record after `request.base`."""
@@ -277,14 +280,22 @@
 
         A proposer gives up its own earlier proposal by sending a later one. This
         entry gives up its own by agreeing to another: only its proposer can put a
-        record in force.
+        record in force. A proposer whose process has ended before the record was in
+        force here can no longer use the grant.
         """
         promise = state.promise
         if promise is None or promise.record == request.record:
             return True
-        if promise.proposer not in (request.proposer, self.address):
+        if request.record.epoch <= promise.record.epoch:
             return False
-        return request.record.epoch > promise.record.epoch
+        if promise.proposer in (request.proposer, self.address):
+            return True
+        record = promise.record
+        return (
+            promise.proposer == record.owner
+            and self.stands_by(record)
+            and self._process_ended(record.owner, record.owner_started_ms)
+        )
 
     def _refuse(self, shard: str) -> GrantReply:
         state = self.states.get(shard)
--- a/lentilroad/membership/shards.py
+++ b/lentilroad/membership/shards.py
@@ -109,6 +109,7 @@
             on_gained=on_gained,
             on_lost=on_lost,
             on_changed=on_changed,
+            process_ended=members.process_ended,
         )
         self._pairs = PairHeartbeats(records=self._records, call=call, clock=clock)
         self._store = ShardMapStore(
--- a/lentilroad/membership/succession.py
+++ b/lentilroad/membership/succession.py
@@ -248,21 +248,23 @@
     def _refused(self, state: ShardState, reply: GrantReply) -> None:
         state.promise = None
         state.frozen = False
-        if reply.in_force and reply.highest is not None:
+        if reply.highest is None:
+            return
+        state.refused_epoch = max(state.refused_epoch, reply.highest.epoch)
+        if reply.in_force:
             self._records.learn(state.name, reply.highest)
 
     def _next_record(
         self, state: ShardState, *, owner: str, standby: str
     ) -> ShardRecord | None:
         """Return the record to propose; an unanswered proposal is sent again."""
-        epoch = state.record.epoch
         promise = state.promise
         if promise is not None:
             if promise.proposer != self._records.address:
                 return None
             if (promise.record.owner, promise.record.standby) == (owner, standby):
                 return promise.record
-            epoch = promise.record.epoch
+        epoch = self._records.highest_epoch(state.name)
         base = state.record
         lost = base.owner if owner != base.owner else base.standby
         if standby == base.standby:
@@ -385,9 +387,8 @@
         owner_gone = self._gone(record.owner, record.owner_started_ms)
         standby_gone = self._gone(record.standby, record.standby_started_ms)
         if not owner_gone:
-            arbiter_gone = self._gone(record.arbiter, record.arbiter_started_ms)
-            blocked = record.standby and standby_gone and arbiter_gone
-            return record.owner if blocked else ""
+            # The owner has not found another standby in all this time.
+            return record.owner if record.standby and standby_gone else ""
         if not standby_gone:
             return record.standby
         entries = self._members.alive_entries(self._region)
@@ -408,8 +409,7 @@
     def _restarted(self, address: str, started_ms: int) -> bool:
         if self._pairs.restarted(address, started_ms):
             return True
-        peer = self._members.peer(address)
-        return peer is not None and peer.started_ms > started_ms > 0
+        return self._members.process_ended(address, started_ms)
 
     def _gone(
         self, address: str, started_ms: int, *, for_s: float = RECOVERY_AFTER_S
--- a/tests/membership/test_shard_state.py
+++ b/tests/membership/test_shard_state.py
@@ -20,7 +20,7 @@
 )
 
 
-def make_records(address, started_ms=1):
+def make_records(address, started_ms=1, ended=()):
     """Return the records of one entry, and the log of its callbacks."""
     log = []
     records = ShardRecords(
@@ -30,6 +30,7 @@
         on_gained=lambda shard, record: log.append(("gained", record.epoch)),
         on_lost=lambda shard: log.append(("lost",)),
         on_changed=lambda shard, record: log.append(("changed", record.epoch)),
+        process_ended=lambda address, started_ms: address in ended,
     )
     return records, log
 
@@ -69,6 +70,18 @@
     assert not records.grant(proposal("s")).granted
 
 
+def test_grant_to_an_ended_process_does_not_block_the_owner():
+    """A standby that restarts in its takeover must be replaceable."""
+    ended = []
+    records, _ = make_records("a", ended=ended)
+    assert records.grant(proposal("s")).granted
+    assert not records.grant(proposal("o", epoch=7)).granted
+    ended.append("s")
+    assert not records.grant(proposal("o", epoch=6)).granted
+    assert records.grant(proposal("o", epoch=7)).granted
+    assert not records.accepts(SHARD, 6, "s")
+
+
 def test_entry_outside_the_record_neither_proposes_nor_grants():
     """Only the three named entries decide about the next record."""
     records, _ = make_records("a")
