--- a/lentilroad/membership/shards.py
+++ b/lentilroad/membership/shards.py
@@ -9,6 +9,7 @@
 from lentilroad.adapters.key_value import KeyValueStore
 from lentilroad.clock import Clock
 from lentilroad.errors import UnavailableError
+from lentilroad.membership.candidates import Candidates
 from lentilroad.membership.const import (
     PAUSE_GAP_S,
     PIGGYBACK_RECORDS,
@@ -20,6 +21,7 @@
 from lentilroad.membership.moves import CopyShard, PlannedMoves
 from lentilroad.membership.pairs import PairHeartbeats
 from lentilroad.membership.program_id import parse_shard, shard_of
+from lentilroad.membership.recovery import Recovery
 from lentilroad.membership.shard_state import ShardRecords
 from lentilroad.membership.shard_store import ShardMapStore
 from lentilroad.membership.succession import Succession
@@ -122,14 +124,25 @@
             clock=clock,
             random=random,
         )
-        self._succession = Succession(
+        candidates = Candidates(
+            region=region, records=self._records, pairs=self._pairs, members=members
+        )
+        self._recovery = Recovery(
             region=region,
+            records=self._records,
+            members=members,
+            candidates=candidates,
+            clock=clock,
+            map_changes=self._store,
+        )
+        self._succession = Succession(
             records=self._records,
             pairs=self._pairs,
             members=members,
             call=call,
             clock=clock,
             map_changes=self._store,
+            candidates=candidates,
         )
         self._moves = PlannedMoves(
             region=region,
@@ -250,7 +263,7 @@
                 self._succession.heartbeat()
                 self._store.wake()
             if ticks % _RECOVERY_TICKS == 0:
-                self._succession.recover()
+                self._recovery.tick()
 
     async def _note_pause(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -258,7 +271,7 @@
         self._last_tick_s = now_s
         if gap_s > SUCCESSION_TICK_S + PAUSE_GAP_S:
             self._pairs.restart_timers()
-            self._succession.restart_timers()
+            self._recovery.restart_timers()
         if gap_s > SOLE_OWNER_PAUSE_S:
             self._unverified = True
         if self._unverified and await self._store.read_again():
--- a/lentilroad/membership/succession.py
+++ b/lentilroad/membership/succession.py
@@ -4,66 +4,50 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
 
 import eliot
 
 from lentilroad.clock import Clock
 from lentilroad.const import PEER_SILENT_AFTER_S
 from lentilroad.errors import LentilroadError
+from lentilroad.membership.candidates import Candidates, MapChanges
 from lentilroad.membership.const import (
     ARBITER_LOST_AFTER_S,
     CONCURRENT_GRANTS,
     GRANT_TIMEOUT_S,
     OWNER_PROBE_AFTER_S,
-    RECOVERY_AFTER_S,
-    RECOVERY_EPOCH_STEP,
 )
 from lentilroad.membership.members import Call, Members
 from lentilroad.membership.pairs import PairHeartbeats
-from lentilroad.membership.placement import choose, desired_record, make_record
-from lentilroad.membership.program_id import parse_shard
+from lentilroad.membership.placement import choose, make_record
 from lentilroad.membership.shard_state import Promise, ShardRecords, ShardState
 from lentilroad.wire.messages import GrantReply, GrantRequest, ShardRecord
 from lentilroad.wire.services import GRANT
 
 
-class MapChanges(Protocol):
-    """Where records go that only the key-value service can decide."""
-
-    def propose(self, shard: str, base: ShardRecord, record: ShardRecord) -> None:
-        """Replace the record after `base` by CAS, as soon as possible."""
-        ...
-
-    def withdraw(self, shard: str, *, owner: str, standby: str) -> None:
-        """Give up a waiting proposal for this pair."""
-        ...
-
-
 class Succession:
     """Changes of the records that name this entry."""
 
     def __init__(
         self,
         *,
-        region: str,
         records: ShardRecords,
         pairs: PairHeartbeats,
         members: Members,
         call: Call,
         clock: Clock,
         map_changes: MapChanges,
+        candidates: Candidates,
     ) -> None:
-        self._region = region
         self._records = records
         self._pairs = pairs
         self._members = members
         self._call = call
         self._clock = clock
         self._map_changes = map_changes
+        self._candidates = candidates
         self._slots = asyncio.Semaphore(CONCURRENT_GRANTS)
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._orphaned_s: dict[str, float] = {}
 
     def tick(self) -> None:
         """Start whatever the silence of other entries requires."""
@@ -84,10 +68,6 @@
         for address, shards in partners.items():
             self._pairs.send(address, shards)
 
-    def restart_timers(self) -> None:
-        """Count the loss of pairs from now on, after this process was paused."""
-        self._orphaned_s.clear()
-
     async def close(self) -> None:
         """Stop the changes under way."""
         tasks = list(self._tasks.values())
@@ -100,13 +80,13 @@
         if state.frozen and state.promise is not None:
             self._start(state, self._finish_move)
         if not record.standby:
-            if self._entries(taken=[record.owner]):
+            if self._candidates.entries(taken=[record.owner]):
                 self._extend(state)
             return
         if not self._standby_lost(state):
             if self._members.state_of(record.standby) != "draining":
                 self._map_changes.withdraw(state.name, owner=record.owner, standby="")
-            if not record.arbiter or self._gone(
+            if not record.arbiter or self._candidates.gone(
                 record.arbiter, record.arbiter_started_ms, for_s=ARBITER_LOST_AFTER_S
             ):
                 self._start(state, self._replace_arbiter)
@@ -197,7 +177,7 @@
         base = state.record
         if not self._records.owns(base):
             return
-        arbiter = self._choose_arbiter(
+        arbiter = self._candidates.choose_arbiter(
             state.name, [base.owner, base.standby], lost=base.arbiter
         )
         if not arbiter:
@@ -269,7 +249,9 @@
         lost = base.owner if owner != base.owner else base.standby
         if standby == base.standby:
             lost = base.arbiter
-        arbiter = self._choose_arbiter(state.name, [owner, standby], lost=lost)
+        arbiter = self._candidates.choose_arbiter(
+            state.name, [owner, standby], lost=lost
+        )
         record = make_record(
             epoch=epoch + 1,
             owner=owner,
@@ -293,36 +275,9 @@
             record.standby, record.standby_started_ms
         )
 
-    def _choose_arbiter(self, shard: str, pair: list[str], *, lost: str) -> str:
-        if not pair[1]:
-            return ""
-        entries = [e for e in self._entries(taken=pair) if e != lost]
-        far = [e for e in self._far_entries() if e != lost]
-        return choose(
-            shard, entries, taken=pair, peer_of=self._members.peer, far_entries=far
-        )
-
-    def _entries(self, *, taken: list[str]) -> list[str]:
-        """Return entries that can take a role now."""
-        return [
-            address
-            for address in self._members.alive_entries(self._region)
-            if address not in taken
-            and self._members.state_of(address) == "alive"
-            and not self._pairs.refused(address)
-        ]
-
-    def _far_entries(self) -> list[str]:
-        return [
-            address
-            for region in self._members.regions()
-            if region != self._region
-            for address in self._members.alive_entries(region)
-        ]
-
     def _extend(self, state: ShardState) -> None:
         """Name a standby for a sole owner."""
-        entries = self._entries(taken=[state.record.owner])
+        entries = self._candidates.entries(taken=[state.record.owner])
         standby = choose(
             state.name,
             entries,
@@ -336,89 +291,11 @@
             epoch=self._records.highest_epoch(state.name) + 1,
             owner=owner,
             standby=standby,
-            arbiter=self._choose_arbiter(state.name, [owner, standby], lost=""),
+            arbiter=self._candidates.choose_arbiter(
+                state.name, [owner, standby], lost=""
+            ),
             peer_of=self._members.peer,
         )
         self._keep_starts(record, state.record)
         record.from_sole_owner = state.record.standby == "" and standby != ""
         self._map_changes.propose(state.name, state.record, record)
-
-    def recover(self) -> None:
-        """Assign shards anew whose pair was lost; needs the key-value service."""
-        for shard, state in self._records.states.items():
-            if parse_shard(shard)[0] == self._region:
-                self._recover_one(state)
-
-    def _recover_one(self, state: ShardState) -> None:
-        record = state.record
-        if self._recoverer(state) != self._records.address:
-            self._orphaned_s.pop(state.name, None)
-            return
-        now_s = self._clock.monotonic_s()
-        since_s = self._orphaned_s.setdefault(state.name, now_s)
-        # A process that has restarted is known to have lost its copies.
-        certain = self._all_restarted(record)
-        if now_s - since_s < RECOVERY_AFTER_S and not certain:
-            return
-        fresh = desired_record(
-            state.name,
-            self._entries(taken=[self._records.address]),
-            epoch=0,
-            peer_of=self._members.peer,
-            far_entries=self._far_entries(),
-        )
-        recovered = make_record(
-            epoch=self._records.highest_epoch(state.name) + RECOVERY_EPOCH_STEP,
-            owner=self._records.address,
-            standby=fresh.owner,
-            arbiter=fresh.standby or (fresh.owner and fresh.arbiter),
-            peer_of=self._members.peer,
-        )
-        eliot.log_message(
-            message_type="membership:shard_recovery",
-            shard=state.name,
-            epoch=recovered.epoch,
-        )
-        self._map_changes.propose(state.name, record, recovered)
-
-    def _recoverer(self, state: ShardState) -> str:
-        """Return who assigns a shard anew, or "" while its record still works."""
-        record = state.record
-        owner_gone = self._gone(record.owner, record.owner_started_ms)
-        standby_gone = self._gone(record.standby, record.standby_started_ms)
-        if not owner_gone:
-            # The owner has not found another standby in all this time.
-            return record.owner if record.standby and standby_gone else ""
-        if not standby_gone:
-            return record.standby
-        entries = self._members.alive_entries(self._region)
-        return desired_record(
-            state.name, entries, epoch=0, peer_of=self._members.peer
-        ).owner
-
-    def _all_restarted(self, record: ShardRecord) -> bool:
-        named = [
-            (record.owner, record.owner_started_ms),
-            (record.standby, record.standby_started_ms),
-        ]
-        return all(
-            not address or self._restarted(address, started_ms)
-            for address, started_ms in named
-        )
-
-    def _restarted(self, address: str, started_ms: int) -> bool:
-        if self._pairs.restarted(address, started_ms):
-            return True
-        return self._members.process_ended(address, started_ms)
-
-    def _gone(
-        self, address: str, started_ms: int, *, for_s: float = RECOVERY_AFTER_S
-    ) -> bool:
-        """Return whether a named process has ended as far as this entry knows."""
-        if not address:
-            return True
-        if self._records.is_me(address, started_ms):
-            return False
-        if self._restarted(address, started_ms):
-            return True
-        return self._members.dead_for_s(address) > for_s
