--- a/lentilroad/membership/shard_state.py
+++ b/lentilroad/membership/shard_state.py
@@ -32,6 +32,8 @@
     activated: bool = False
     confirmed: bool = False
     promise: Promise | None = None
+    # Highest epoch that a refusal named; later proposals stay above it.
+    refused_epoch: int = 0
     # A planned move copies the last changes; commits are refused.
     frozen: bool = False
     # Map revision that brought the record; 0 while it is not in the map.
@@ -64,17 +66,22 @@
         on_gained: Callable[[str, ShardRecord], None],
         on_lost: Callable[[str], None],
         on_changed: Callable[[str, ShardRecord], None],
+        process_ended: Callable[[str, int], bool],
     ) -> None:
         self.address = address
         self.started_ms = started_ms
         self.states: dict[str, ShardState] = {}
         self.maps: dict[str, RegionMap] = {}
+        # Records that this owner proposed through the map: it stays the owner without
+        # a gap when one of them comes into force.
+        self.proposed: dict[str, ShardRecord] = {}
         # Shards whose record this entry must write to the map.
         self.unwritten: set[str] = set()
         self._clock = clock
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._on_changed = on_changed
+        self._process_ended = process_ended
         self._updates: dict[str, int] = {}
 
     def is_me(self, address: str, started_ms: int) -> bool:
@@ -108,7 +115,9 @@
         """Return the shards whose record in force names this process as standby."""
         return [state for state in self.states.values() if self.stands_by(state.record)]
 
-    def learn(self, shard: str, record: ShardRecord) -> bool:
+    def learn(
+        self, shard: str, record: ShardRecord, *, decided_here: bool = False
+    ) -> bool:
         """Take over a record in force; return whether it is newer than the known one.
 
         A standby may take over from a record that it learned from others, except
@@ -132,27 +141,34 @@
         if state.promise is not None and state.promise.record.epoch <= record.epoch:
             state.promise = None
         self._updates[shard] = PIGGYBACK_REPEATS
-        self._report(shard, record, owned=owned)
+        proposed = self.proposed.pop(shard, None)
+        self._report(
+            shard, record, owned=owned, kept=decided_here or proposed == record
+        )
         return True
 
-    def _report(self, shard: str, record: ShardRecord, *, owned: bool) -> None:
+    def _report(
+        self, shard: str, record: ShardRecord, *, owned: bool, kept: bool
+    ) -> None:
+        """Call back; `kept` tells that no other entry owned the shard in between."""
         owns = self.owns(record)
-        if owns and owned:
+        if owns and owned and kept:
             self._on_changed(shard, record)
-        elif owns:
-            eliot.log_message(
-                message_type="membership:shard_gained", shard=shard, epoch=record.epoch
-            )
-            self._on_gained(shard, record)
-        elif owned:
+            return
+        if owned:
             eliot.log_message(
                 message_type="membership:shard_lost", shard=shard, epoch=record.epoch
             )
             self._on_lost(shard)
+        if owns:
+            eliot.log_message(
+                message_type="membership:shard_gained", shard=shard, epoch=record.epoch
+            )
+            self._on_gained(shard, record)
 
     def decide(self, shard: str, record: ShardRecord) -> None:
         """Put a record in force that this entry proposed and that was granted."""
-        if self.learn(shard, record):
+        if self.learn(shard, record, decided_here=True):
             self.unwritten.add(shard)
 
     def adopt_map(
@@ -230,9 +246,8 @@
         state = self.states.get(shard)
         if state is None:
             return 0
-        if state.promise is not None:
-            return max(state.record.epoch, state.promise.record.epoch)
-        return state.record.epoch
+        promised = state.promise.record.epoch if state.promise else 0
+        return max(state.record.epoch, state.refused_epoch, promised)
 
     def grant(self, request: GrantRequest) -> GrantReply:
         """Decide about a proposal for the record after `request.base`."""
@@ -269,14 +284,22 @@
 
         A proposer gives up its own earlier proposal by sending a later one. This
         entry gives up its own by agreeing to another: only its proposer can put a
-        record in force.
+        record in force. A proposer whose process has ended before the record was in
+        force here can no longer use the grant.
         """
         promise = state.promise
         if promise is None or promise.record == request.record:
             return True
-        if promise.proposer not in (request.proposer, self.address):
+        if request.record.epoch <= promise.record.epoch:
             return False
-        return request.record.epoch > promise.record.epoch
+        if promise.proposer in (request.proposer, self.address):
+            return True
+        record = promise.record
+        return (
+            promise.proposer == record.owner
+            and self.stands_by(record)
+            and self._process_ended(record.owner, record.owner_started_ms)
+        )
 
     def _refuse(self, shard: str) -> GrantReply:
         state = self.states.get(shard)
