--- a/lentilroad/demo/scenario.py
+++ b/lentilroad/demo/scenario.py
@@ -210,13 +210,9 @@
         )
         await asyncio.sleep(const.STOP_ENTRY_DELAY_S)
         stop = asyncio.ensure_future(self._stop_entry(processes, layout.entries[0]))
-        await asyncio.sleep(
-            const.CHANGE_CONFIGURATION_DELAY_S
-        )
+        await asyncio.sleep(const.CHANGE_CONFIGURATION_DELAY_S)
         await self._change_configuration(session, layout)
-        await asyncio.sleep(
-            const.KILL_ENTRY_DELAY_S
-        )
+        await asyncio.sleep(const.KILL_ENTRY_DELAY_S)
         killed = layout.entries[-1]
         self.stopped.add(killed.name)
         processes.send(killed, signal.SIGKILL)
--- a/lentilroad/faults/network.py
+++ b/lentilroad/faults/network.py
@@ -13,6 +13,7 @@
 from lentilroad.wire.services import Method
 
 _CODEC = MessagePackCodec()
+Then = Callable[[], None]
 
 
 class Process:
@@ -31,31 +32,32 @@
         self.address = address
         self.handlers: Mapping[Method, Callable[..., Any]] = {}
         self.is_dead = False
-        self.died = asyncio.Event()
-        self._running = asyncio.Event()
-        self._running.set()
-
-    @property
-    def is_paused(self) -> bool:
-        """Whether the process is paused."""
-        return not self._running.is_set()
+        self.is_paused = False
+        # Called when the process dies.
+        self.on_death: set[Then] = set()
+        self._resumed = asyncio.Event()
 
     def kill(self) -> None:
         """End the process."""
         self.is_dead = True
-        self.died.set()
+        for then in list(self.on_death):
+            then()
+        self.on_death.clear()
 
     def pause(self) -> None:
         """Stop the process until `resume`."""
-        self._running.clear()
+        self.is_paused = True
+        self._resumed.clear()
 
     def resume(self) -> None:
         """Let a paused process go on."""
-        self._running.set()
+        self.is_paused = False
+        self._resumed.set()
 
     async def step(self) -> None:
         """Wait while paused; never return once the process is dead."""
-        await self._running.wait()
+        while self.is_paused:
+            await self._resumed.wait()
         if self.is_dead:
             await asyncio.get_running_loop().create_future()
 
@@ -81,6 +83,55 @@
         await self._process.step()
 
 
+class _Exchange:
+    """One unary call: request, handler, reply; its future gets the outcome."""
+
+    __slots__ = ("_handling", "_method", "_network", "_process", "_target", "reply")
+
+    def __init__(self, network: Network, process: Process, method: Method) -> None:
+        self._network = network
+        self._process = process
+        self._method = method
+        self._target: Process | None = None
+        self._handling: asyncio.Task[Any] | None = None
+        self.reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+
+    def fail(self) -> None:
+        """End with an error, unless there is a reply."""
+        if not self.reply.done():
+            self.reply.set_exception(
+                UnavailableError("the peer cannot be reached; try another one")
+            )
+
+    def arrive(self, target: Process | None, data: bytes) -> None:
+        """Start the handler; it goes on when the sender gives up."""
+        if target is None or target.is_dead:
+            self.fail()
+            return
+        self._target = target
+        target.on_death.add(self.fail)
+        self._handling = asyncio.create_task(self._handle(target, data))
+
+    async def _handle(self, target: Process, data: bytes) -> None:
+        await target.step()
+        method = self._method
+        request = _CODEC.decode(data, method.request_type)
+        reply = await target.handlers[method](request)
+        await target.step()
+        target.on_death.discard(self.fail)
+        encoded = _CODEC.encode(reply, method.reply_type)
+        self._network.carry(target.address, self._process.address, self._end, encoded)
+
+    def _end(self, data: bytes) -> None:
+        if not self.reply.done():
+            self.reply.set_result(_CODEC.decode(data, self._method.reply_type))
+
+    def close(self) -> None:
+        """Forget the exchange."""
+        if self._target is not None:
+            self._target.on_death.discard(self.fail)
+
+
 class Network:
     """Deliver messages between processes with latency and faults.
 
@@ -100,10 +151,6 @@
         """Connect a process, replacing one with the same address."""
         self._processes[process.address] = process
 
-    def process(self, address: str) -> Process:
-        """Return the process at an address."""
-        return self._processes[address]
-
     def silence(self, left: str, right: str) -> None:
         """Drop everything between two addresses until `restore`."""
         self._silent.add(frozenset((left, right)))
@@ -112,6 +159,15 @@
         """End the silence between two addresses."""
         self._silent.discard(frozenset((left, right)))
 
+    def carry(
+        self, sender: str, receiver: str, then: Callable[..., None], *values: Any
+    ) -> None:
+        """Call a function after the latency, unless the connection is silent."""
+        if self._silent and frozenset((sender, receiver)) in self._silent:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._latency_s, then, *values)
+
     def caller(self, process: Process) -> Callable[..., Any]:
         """Return the function with which a process sends unary calls."""
 
@@ -119,9 +175,24 @@
             address: str, method: Method, request: Any, timeout_s: float | None
         ) -> Any:
             await process.step()
-            reply = await self._within(
-                self._exchange(process, address, method, request), timeout_s
+            exchange = _Exchange(self, process, method)
+            data = _CODEC.encode(request, method.request_type)
+            self.carry(
+                process.address,
+                address,
+                lambda: exchange.arrive(self._processes.get(address), data),
             )
+            limit_s = PEER_SILENT_AFTER_S if timeout_s is None else timeout_s
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(limit_s, exchange.fail)
+            try:
+                reply = await exchange.reply
+            except UnavailableError:
+                await process.step()
+                raise
+            finally:
+                timer.cancel()
+                exchange.close()
             await process.step()
             return reply
 
@@ -143,54 +214,13 @@
 
         return stream
 
-    async def _within(self, exchange: Any, timeout_s: float | None) -> Any:
-        limit_s = PEER_SILENT_AFTER_S if timeout_s is None else timeout_s
-        try:
-            return await asyncio.wait_for(exchange, limit_s)
-        except TimeoutError:
-            raise UnavailableError("the peer is silent; try again") from None
-
-    async def _deliver(self, sender: str, address: str) -> Process:
-        """Carry a message to a process; wait forever if it cannot arrive."""
-        await asyncio.sleep(self._latency_s)
-        target = self._processes.get(address)
-        if frozenset((sender, address)) in self._silent:
-            await asyncio.get_running_loop().create_future()
-        if target is None or target.is_dead:
-            raise UnavailableError("the peer refused the connection; try another")
-        await target.step()
-        return target
-
-    async def _exchange(
-        self, process: Process, address: str, method: Method, request: Any
-    ) -> Any:
-        target = await self._deliver(process.address, address)
-        handler = target.handlers[method]
-        # The handler goes on when the sender gives up.
-        handling = asyncio.ensure_future(handler(_copy(request, method.request_type)))
-        died = asyncio.ensure_future(target.died.wait())
-        try:
-            await asyncio.wait({handling, died}, return_when=asyncio.FIRST_COMPLETED)
-            if target.is_dead:
-                raise UnavailableError("the connection was reset; try another peer")
-            await target.step()
-            reply = _copy(handling.result(), method.reply_type)
-        finally:
-            died.cancel()
-        await self._deliver(address, process.address)
-        return reply
-
     async def _replies(
         self, process: Process, address: str, method: Method, request: Any
     ) -> AsyncGenerator[Any, None]:
-        delivery = self._deliver(process.address, address)
-        target = await self._within(delivery, PEER_SILENT_AFTER_S)
-        handler = target.handlers[method]
         queue: asyncio.Queue[Any] = asyncio.Queue()
-        pump = asyncio.create_task(
-            self._pump(target, process, handler, method, request, queue)
-        )
-        watch = asyncio.create_task(self._watch(process, target, queue))
+        data = _CODEC.encode(request, method.request_type)
+        pump = asyncio.create_task(self._pump(process, address, method, data, queue))
+        watch = asyncio.create_task(self._watch(process, address, queue))
         try:
             while True:
                 reply = await queue.get()
@@ -198,50 +228,58 @@
                     return
                 if isinstance(reply, Exception):
                     raise reply
-                yield reply
+                yield _CODEC.decode(reply, method.reply_type)
         finally:
             pump.cancel()
             watch.cancel()
 
     async def _pump(
         self,
-        target: Process,
         process: Process,
-        handler: Callable[..., Any],
+        address: str,
         method: Method,
-        request: Any,
+        data: bytes,
         queue: asyncio.Queue[Any],
     ) -> None:
-        copied = _copy(request, method.request_type)
+        """Run the handler at the target and carry its replies back."""
+        await asyncio.sleep(self._latency_s)
+        target = self._processes.get(address)
+        if frozenset((process.address, address)) in self._silent:
+            return
+        if target is None or target.is_dead:
+            queue.put_nowait(UnavailableError("the peer refused the connection"))
+            return
+
+        def reset() -> None:
+            queue.put_nowait(UnavailableError("the connection was reset"))
+
+        target.on_death.add(reset)
+        put = queue.put_nowait
         try:
-            async with aclosing(handler(copied)) as replies:
+            await target.step()
+            request = _CODEC.decode(data, method.request_type)
+            async with aclosing(target.handlers[method](request)) as replies:
                 async for reply in replies:
                     await target.step()
-                    reply = _copy(reply, method.reply_type)
-                    await self._deliver(target.address, process.address)
-                    queue.put_nowait(reply)
+                    encoded = _CODEC.encode(reply, method.reply_type)
+                    self.carry(address, process.address, put, encoded)
             await target.step()
-            await self._deliver(target.address, process.address)
-            queue.put_nowait(None)
+            self.carry(address, process.address, put, None)
         except Exception as error:  # noqa: BLE001 - raised where the stream is read
-            queue.put_nowait(error)
+            put(error)
+        finally:
+            target.on_death.discard(reset)
 
     async def _watch(
-        self, process: Process, target: Process, queue: asyncio.Queue[Any]
+        self, process: Process, address: str, queue: asyncio.Queue[Any]
     ) -> None:
-        """Fail a stream whose peer died, or was silent for three heartbeats."""
-        pair = frozenset((process.address, target.address))
+        """Fail a stream whose peer was silent for three heartbeats."""
+        pair = frozenset((process.address, address))
         silent_s = 0.0
         step_s = PEER_SILENT_AFTER_S / 3
         while silent_s < PEER_SILENT_AFTER_S:
-            try:
-                await asyncio.wait_for(target.died.wait(), step_s)
-                break
-            except TimeoutError:
-                is_silent = pair in self._silent or target.is_paused
-                silent_s = silent_s + step_s if is_silent else 0.0
-        queue.put_nowait(UnavailableError("the stream broke; open it again"))
-
-
-def _copy(message: Any, message_type: type) -> Any:
-    return _CODEC.decode(_CODEC.encode(message, message_type), message_type)
+            await asyncio.sleep(step_s)
+            target = self._processes.get(address)
+            is_silent = pair in self._silent or (target and target.is_paused)
+            silent_s = silent_s + step_s if is_silent else 0.0
+        queue.put_nowait(UnavailableError("the peer is silent; open it again"))
--- a/lentilroad/program/owned.py
+++ b/lentilroad/program/owned.py
@@ -14,6 +14,7 @@
     Call,
     ShardReplicator,
     ShardTable,
+    known_record,
     not_owner,
 )
 from lentilroad.program.standby import ProgramStandby
@@ -172,6 +173,7 @@
         replicator = self._replicators.pop(shard, None)
         if replicator is not None:
             replicator.close()
+            self._keep_as_copy(shard, replicator, programs)
         for program in programs.values():
             for run in program.runs.values():
                 run.abort(not_owner(shard))
@@ -180,6 +182,17 @@
                 message_type="program:shard_lost", shard=shard, programs=len(programs)
             )
 
+    def _keep_as_copy(
+        self, shard: str, replicator: ShardReplicator, programs: dict[str, Program]
+    ) -> None:
+        """Keep the programs as the standby of the record that a move put in force."""
+        record = known_record(self._shard_table, shard)
+        if record is None or record != replicator.staged_record:
+            return
+        if record.standby == self._address:
+            states = [program.state for program in programs.values()]
+            self._standby.keep(shard, record, states)
+
     def drop_stale(self, shard: str, epoch: int) -> None:
         """Drop a shard because a peer knows an epoch above `epoch`."""
         current = self._shard_table.my_epoch(shard)
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -119,6 +119,8 @@
         self._sending = asyncio.Lock()
         # Sequence of each program that a planned move has copied.
         self._staged: dict[str, int] = {}
+        # Record of the planned move whose copy is complete.
+        self.staged_record: ShardRecord | None = None
         self._told_epoch = 0
         self._reset_needed = True
         self._task: asyncio.Task[None] | None = None
@@ -185,6 +187,7 @@
         bool
             Whether all entries of the record have the copy.
         """
+        self.staged_record = None
         if not final:
             self._staged = {}
             return await self._stage(states, record, reset=True)
@@ -195,7 +198,10 @@
                 for state in states
                 if self._staged.get(state.program_id) != state.sequence
             ]
-            return await self._stage(changed, record, reset=False)
+            if not await self._stage(changed, record, reset=False):
+                return False
+            self.staged_record = record
+            return True
 
     async def _stage(
         self, states: list[ProgramState], record: ShardRecord, *, reset: bool
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -46,6 +46,8 @@
     finished: Finished | None = None
     error: LentilroadError | None = None
     text: str = ""
+    # Whether the sidecar held the call before it ended.
+    was_accepted: bool = False
 
 
 def backoff_s(attempt: int, random: Random) -> float:
@@ -109,12 +111,15 @@
                     return outcome
             outcome = await self._follow(address, request, on_accepted)
             if outcome is not None:
+                if attempt == 0 and not resolve_first:
+                    _note_first_refusal(outcome)
                 return outcome
         return await self._resolve(address, request, incarnation) or _lost()
 
     async def _follow(
         self, address: str, request: DispatchRequest, on_accepted: Callable[[], None]
     ) -> CallOutcome | None:
+        was_accepted = False
         try:
             async with aclosing(
                 self._stream(address, DISPATCH, request, None)
@@ -122,7 +127,9 @@
                 async for reply in replies:
                     outcome = _outcome_of(reply)
                     if outcome is not None:
+                        outcome.was_accepted = was_accepted
                         return outcome
+                    was_accepted = True
                     on_accepted()
         except UnavailableError:
             return None
@@ -163,6 +170,17 @@
         return False
 
 
+def _note_first_refusal(outcome: CallOutcome) -> None:
+    """Correct the outcome of a call that this process alone knows was never sent.
+
+    A sidecar that has restarted cannot exclude that its earlier process ran the call.
+    """
+    error = outcome.error
+    if outcome.was_accepted or not isinstance(error, UnavailableError):
+        return
+    error.outcome = "not_run"
+
+
 def _lost() -> CallOutcome:
     error = OutcomeUnknownError(
         "the sidecar of the upstream lost its records or cannot be reached; check at "
--- a/lentilroad/program/standby.py
+++ b/lentilroad/program/standby.py
@@ -44,9 +44,20 @@
         Current records of the shards.
     clock : Clock
         Source of time.
+    started_ms : int, optional
+        Start of this process in Unix milliseconds, as in shard records. A planned
+        move to an earlier process at the same address is refused.
     """
 
-    def __init__(self, *, address: str, shard_table: ShardTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        shard_table: ShardTable,
+        clock: Clock,
+        started_ms: int = 0,
+    ) -> None:
+        self._started_ms = started_ms
         self._address = address
         self._shard_table = shard_table
         self._clock = clock
@@ -70,13 +81,25 @@
         self, request: ReplicateRequest, planned: ShardRecord, known_epoch: int
     ) -> ReplicateReply:
         """Keep a copy apart until the planned record is in force."""
-        if request.epoch < known_epoch:
+        if request.epoch < known_epoch or not self._is_named(planned):
             return ReplicateReply(accepted=False, highest_epoch=known_epoch)
         copy = self._staged.get(request.shard)
         if copy is None or copy.planned != planned:
             copy = _ShardCopy(planned=planned)
         return self._apply_all(request, copy, self._staged, planned.epoch)
 
+    def _is_named(self, record: ShardRecord) -> bool:
+        """Return whether a record names this process and not an earlier one."""
+        named = {
+            (record.owner, record.owner_started_ms),
+            (record.standby, record.standby_started_ms),
+        }
+        accepted = (0, self._started_ms) if self._started_ms else None
+        return any(
+            address == self._address and (accepted is None or started_ms in accepted)
+            for address, started_ms in named
+        )
+
     def _apply_all(
         self,
         request: ReplicateRequest,
@@ -121,6 +144,14 @@
             return []
         return list(copy.programs.values())
 
+    def keep(self, shard: str, record: ShardRecord, states: list[ProgramState]) -> None:
+        """Keep programs that this entry owned until a planned move."""
+        self._copies[shard] = _ShardCopy(
+            epoch=record.epoch,
+            owner=record.owner,
+            programs={state.program_id: state for state in states},
+        )
+
     def program_count(self, shard: str | None = None) -> int:
         """Return the number of copies of one shard or of all."""
         if shard is not None:
--- a/tests/program/cluster.py
+++ b/tests/program/cluster.py
@@ -7,7 +7,6 @@
 
 from lentilroad.errors import OverloadedError
 from lentilroad.faults.network import Network, Process, ProcessClock
-from lentilroad.faults.sidecar import StandinSidecar
 from lentilroad.program.owner import ProgramOwner
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.wire.messages import (
@@ -22,6 +21,7 @@
 )
 from lentilroad.wire.services import REPLICATE
 from tests.fakes.shards import FakeShardTable
+from tests.program.sidecar import StandinSidecar
 
 SHARD = "r/0001"
 
--- a/tests/program/test_takeover.py
+++ b/tests/program/test_takeover.py
@@ -398,3 +398,38 @@
         assert (await read_program(a)).turn_no == 1
 
     run_virtual(main())
+
+
+def test_former_owner_keeps_the_programs_of_a_moved_shard_as_standby():
+    """The new owner may die before it has copied anything back."""
+
+    async def main():
+        cluster = Cluster()
+        a, c = cluster.entries["a"], cluster.entries["c"]
+        await open_program(a)
+        await final(a, chat("k1"))
+        planned = ShardRecord(epoch=2, owner="c", standby="a")
+        assert await a.owner.copy_shard(SHARD, planned, False)
+        assert await a.owner.copy_shard(SHARD, planned, True)
+        c.process.kill()
+        cluster.set_record(planned, entries="a")
+        cluster.set_record(ShardRecord(epoch=3, owner="a"), entries="a")
+        assert (await read_program(a)).turn_no == 1
+
+    run_virtual(main())
+
+
+def test_planned_copy_for_an_earlier_process_is_refused():
+    """A restarted entry must not be made the owner under its former start."""
+
+    async def main():
+        cluster = Cluster()
+        a, c = cluster.entries["a"], cluster.entries["c"]
+        c.standby._started_ms = 2_000
+        await open_program(a)
+        planned = ShardRecord(epoch=2, owner="c", standby="b", owner_started_ms=1_000)
+        assert not await a.owner.copy_shard(SHARD, planned, False)
+        planned.owner_started_ms = 2_000
+        assert await a.owner.copy_shard(SHARD, planned, False)
+
+    run_virtual(main())
