Keep that a failed chat call may have run under its key

A repeat of such a call after its deadline was refused as not_run, although the first run had reached an engine.

--- a/lentilroad/faults/network.py
+++ b/lentilroad/faults/network.py
@@ -154,6 +154,8 @@
         self._all_processes: list[Process] = []
         # Pairs of addresses between which nothing arrives.
         self._silent: set[frozenset[str]] = set()
+        # Loop time of the last silence of a pair; older connections stay silent.
+        self._silenced_s: dict[frozenset[str], float] = {}
 
     def add(self, process: Process) -> None:
         """Connect a process, replacing one with the same address."""
@@ -161,8 +163,13 @@
         self._all_processes.append(process)
 
     def silence(self, left: str, right: str) -> None:
-        """Drop everything between two addresses until `restore`."""
-        self._silent.add(frozenset((left, right)))
+        """Drop everything between two addresses until `restore`.
+
+        Streams that are open now stay silent for good.
+        """
+        pair = frozenset((left, right))
+        self._silent.add(pair)
+        self._silenced_s[pair] = asyncio.get_running_loop().time()
 
     def restore(self, left: str, right: str) -> None:
         """End the silence between two addresses."""
@@ -228,8 +235,18 @@
     ) -> AsyncGenerator[Any, None]:
         queue: asyncio.Queue[Any] = asyncio.Queue()
         data = _CODEC.encode(request, method.request_type)
-        pump = asyncio.create_task(self._pump(process, address, method, data, queue))
-        watch = asyncio.create_task(self._watch(process, address, queue))
+        pair = frozenset((process.address, address))
+        opened_s = asyncio.get_running_loop().time()
+
+        def is_silent() -> bool:
+            return self._silenced_s.get(pair, -1.0) >= opened_s
+
+        def put(reply: Any) -> None:
+            if not is_silent():
+                queue.put_nowait(reply)
+
+        pump = asyncio.create_task(self._pump(process, address, method, data, put))
+        watch = asyncio.create_task(self._watch(address, is_silent, queue))
         try:
             while True:
                 reply = await queue.get()
@@ -248,7 +265,7 @@
         address: str,
         method: Method,
         data: bytes,
-        queue: asyncio.Queue[Any],
+        put: Callable[[Any], None],
     ) -> None:
         """Run the handler at the target and carry its replies back."""
         await asyncio.sleep(self._latency_s)
@@ -256,14 +273,13 @@
         if frozenset((process.address, address)) in self._silent:
             return
         if target is None or target.is_dead:
-            queue.put_nowait(UnavailableError("the peer refused the connection"))
+            put(UnavailableError("the peer refused the connection"))
             return
 
         def reset() -> None:
-            queue.put_nowait(UnavailableError("the connection was reset"))
+            put(UnavailableError("the connection was reset"))
 
         target.on_death.add(reset)
-        put = queue.put_nowait
         try:
             await target.step()
             request = _CODEC.decode(data, method.request_type)
@@ -280,15 +296,14 @@
             target.on_death.discard(reset)
 
     async def _watch(
-        self, process: Process, address: str, queue: asyncio.Queue[Any]
+        self, address: str, is_silent: Callable[[], bool], queue: asyncio.Queue[Any]
     ) -> None:
         """Fail a stream whose peer was silent for three heartbeats."""
-        pair = frozenset((process.address, address))
         silent_s = 0.0
         step_s = PEER_SILENT_AFTER_S / 3
         while silent_s < PEER_SILENT_AFTER_S:
             await asyncio.sleep(step_s)
             target = self._processes.get(address)
-            is_silent = pair in self._silent or (target and target.is_paused)
-            silent_s = silent_s + step_s if is_silent else 0.0
+            is_paused = target is not None and target.is_paused
+            silent_s = silent_s + step_s if is_paused or is_silent() else 0.0
         queue.put_nowait(UnavailableError("the peer is silent; open it again"))
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -304,6 +304,7 @@
             fingerprint=fingerprint,
             deadline_time_s=self._deadline_of(program.state, request),
         )
+        run.may_have_run = key in program.state.ran_keys
         run.note_emitted_text(request.emitted_text)
         self._begin(program, run)
         return run
@@ -357,7 +358,8 @@
             event = await execute_turn(self._dependencies, program, run)
         except LentilroadError as error:
             event = final_failure(error)
-            if run.dispatched and event.error.outcome == "not_run":
+            may_have_run = run.dispatched or run.may_have_run
+            if may_have_run and event.error.outcome == "not_run":
                 event.error.outcome = "unknown"
         finally:
             if acquired:
--- a/lentilroad/program/preparation.py
+++ b/lentilroad/program/preparation.py
@@ -119,6 +119,7 @@
         policy=policy,
         reserved=_worst_case(program, request, policy, stored, added),
         number=state.call_no + 1,
+        may_have_run=run.may_have_run,
     )
 
 
--- a/lentilroad/program/records.py
+++ b/lentilroad/program/records.py
@@ -69,6 +69,8 @@
     attained_service_s: float = 0.0
     open_call: CallIntent | None = None
     results: dict[str, StoredResult] = {}
+    # Keys of failed chat calls that may have run; such a call may be repeated.
+    ran_keys: list[str] = []
     # Sidecars that may hold something of the program.
     sidecars: list[str] = []
 
@@ -199,8 +201,11 @@
     state.spent = add(state.spent, finished.spent)
     state.attained_service_s += finished.duration_s
     event = finished.event
+    key = intent.request.idempotency_key
+    may_have_run = isinstance(event, Failed) and event.error.outcome != "not_run"
+    if may_have_run and key not in state.ran_keys:
+        state.ran_keys = [*state.ran_keys, key]
     if finished.stored:
-        key = intent.request.idempotency_key
         result = pack_result(event, fingerprint=intent.fingerprint)
         state.results = {**state.results, key: result}
     if isinstance(event, Failed) or intent.request.kind != "chat":
--- a/lentilroad/program/turns.py
+++ b/lentilroad/program/turns.py
@@ -52,6 +52,8 @@
         self.fingerprint = fingerprint
         self.deadline_time_s = deadline_time_s
         self.intent = intent
+        # Whether an earlier run under the same key may have reached an upstream.
+        self.may_have_run = False
         self.emitted_text: str | None = None
         self.text_arrived = asyncio.Event()
         # Whether a sidecar may have received the call.
--- a/tests/program/test_turns.py
+++ b/tests/program/test_turns.py
@@ -232,3 +232,20 @@
         assert b.standby.program_count() == 0
 
     run_virtual(main())
+
+
+def test_refusal_of_a_repeat_does_not_hide_that_the_first_run_reached_an_engine():
+    """A repeat under the same key must not claim that nothing ran."""
+
+    async def main():
+        cluster = Cluster()
+        a = cluster.entries["a"]
+        await open_program(a)
+        cluster.sidecars["m1"].hangs = True
+        request = chat("k", deadline_time_s=a.clock.time_s() + 1)
+        first = await final(a, request)
+        again = await final(a, request)
+        assert first.error.outcome == again.error.outcome == "unknown"
+        assert len(cluster.runs) == 1
+
+    run_virtual(main())
