Keep a shard whose owner has yet to learn its own newer record

The owner now retries until it has learned the record. An owner that missed another owner in between takes over the copy that was sent to it for the new record.

A dispatch that came to no connection is proven not to have run and goes to another sidecar, also for calls that may not be repeated.

--- a/lentilroad/faults/schedule.py
+++ b/lentilroad/faults/schedule.py
@@ -176,6 +176,14 @@
     sidecar = sidecars[fault.target % len(sidecars)]
     if sidecar.process.is_dead or sidecar.record.state != "serving":
         return
+    serving = [
+        record
+        for record in world.directory.values()
+        if record.kind == sidecar.record.kind and record.state == "serving"
+    ]
+    # Operators keep one upstream of each kind.
+    if len(serving) < 2:
+        return
     process = sidecar.process
     await sidecar.drain()
     await asyncio.sleep(fault.duration_s)
--- a/lentilroad/program/owned.py
+++ b/lentilroad/program/owned.py
@@ -167,6 +167,12 @@
         )
         self._on_adopted(shard, list(programs.values()))
 
+    def on_changed(self, shard: str, record: ShardRecord) -> None:
+        """Replace the programs if another entry owned the shard in between."""
+        if self._standby.has_staged(shard, record):
+            self.on_lost(shard)
+            self.on_gained(shard, record)
+
     def on_lost(self, shard: str) -> None:
         """Drop the programs of a shard; their calls go on at the sidecars."""
         programs = self._programs.pop(shard, {})
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -206,6 +206,7 @@
 
     def on_changed(self, shard: str, record: ShardRecord) -> None:
         """Copy to the new standby; called when the pair of an owned shard changes."""
+        self._owned.on_changed(shard, record)
         self._upkeep.start_copy(shard)
 
     async def copy_shard(self, shard: str, record: ShardRecord, final: bool) -> bool:
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -11,7 +11,7 @@
 from eliot import log_message
 
 from lentilroad.clock import Clock
-from lentilroad.errors import LentilroadError, NotOwnerError, UnavailableError
+from lentilroad.errors import LentilroadError, NotOwnerError
 from lentilroad.program import const
 from lentilroad.program.records import (
     CopyReset,
@@ -333,7 +333,7 @@
             return await self._call(
                 address, REPLICATE, request, const.REPLICATE_TIMEOUT_S
             )
-        except UnavailableError:
+        except LentilroadError:
             return None
 
     def _note_pair(self) -> tuple[str, int] | None:
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -38,11 +38,12 @@
     """How one attempt ended.
 
     ``finished`` carries the result, ``refused`` an error with its own outcome and
-    the output so far, ``not_reached`` is proof that the call did not run, ``lost``
-    means that the sidecar cannot tell.
+    the output so far. ``not_reached`` and ``unreachable`` are proof that the call did
+    not run: the sidecar never saw it, or no connection came about. ``lost`` means
+    that the sidecar cannot tell.
     """
 
-    kind: Literal["finished", "refused", "not_reached", "lost"]
+    kind: Literal["finished", "refused", "not_reached", "unreachable", "lost"]
     finished: Finished | None = None
     error: LentilroadError | None = None
     text: str = ""
@@ -109,15 +110,23 @@
                 outcome = await self._resolve(address, request, incarnation)
                 if outcome is not None:
                     return outcome
-            outcome = await self._follow(address, request, on_accepted)
+            is_first = attempt == 0 and not resolve_first
+            outcome = await self._follow(
+                address, request, on_accepted, is_first=is_first
+            )
             if outcome is not None:
-                if attempt == 0 and not resolve_first:
+                if is_first:
                     _note_first_refusal(outcome)
                 return outcome
         return await self._resolve(address, request, incarnation) or _lost()
 
     async def _follow(
-        self, address: str, request: DispatchRequest, on_accepted: Callable[[], None]
+        self,
+        address: str,
+        request: DispatchRequest,
+        on_accepted: Callable[[], None],
+        *,
+        is_first: bool,
     ) -> CallOutcome | None:
         was_accepted = False
         try:
@@ -131,7 +140,9 @@
                         return outcome
                     was_accepted = True
                     on_accepted()
-        except UnavailableError:
+        except LentilroadError as error:
+            if is_first and not was_accepted and error.outcome == "not_run":
+                return CallOutcome(kind="unreachable", error=error)
             return None
         return None
 
@@ -150,7 +161,7 @@
                 reply = await self._call(
                     address, RESOLVE, question, const.RESOLVE_TIMEOUT_S
                 )
-            except UnavailableError:
+            except LentilroadError:
                 await self._clock.sleep(backoff_s(attempt, self._random))
                 continue
             return _outcome_of_resolve(reply)
@@ -163,7 +174,7 @@
         for attempt in range(attempts):
             try:
                 await self._call(address, method, request, const.SIDECAR_CALL_TIMEOUT_S)
-            except UnavailableError:
+            except LentilroadError:
                 await self._clock.sleep(const.FORGET_BACKOFF_S * 2.0**attempt)
                 continue
             return True
--- a/lentilroad/program/standby.py
+++ b/lentilroad/program/standby.py
@@ -73,6 +73,9 @@
         if request.staged_record is not None:
             return self._replicate_staged(request, request.staged_record, known_epoch)
         if not self._shard_table.accepts(shard, request.epoch, request.owner):
+            if record is not None and record.owner == request.owner:
+                # The sender is still the owner and has yet to learn its record.
+                known_epoch = min(known_epoch, request.epoch)
             return ReplicateReply(accepted=False, highest_epoch=known_epoch)
         copy = self._copies.get(shard) or _ShardCopy()
         return self._apply_all(request, copy, self._copies, request.epoch)
@@ -144,6 +147,11 @@
             return []
         return list(copy.programs.values())
 
+    def has_staged(self, shard: str, record: ShardRecord) -> bool:
+        """Return whether another owner copied the shard here for this record."""
+        staged = self._staged.get(shard)
+        return staged is not None and staged.planned == record
+
     def keep(self, shard: str, record: ShardRecord, states: list[ProgramState]) -> None:
         """Keep programs that this entry owned until a planned move."""
         self._copies[shard] = _ShardCopy(
--- a/tests/program/test_takeover.py
+++ b/tests/program/test_takeover.py
@@ -433,3 +433,56 @@
         assert await a.owner.copy_shard(SHARD, planned, False)
 
     run_virtual(main())
+
+
+def test_owner_that_lags_behind_its_own_record_keeps_its_programs():
+    """A lost answer to a CAS must not make the owner drop its shard."""
+
+    async def main():
+        cluster = Cluster()
+        a, b = cluster.entries["a"], cluster.entries["b"]
+        await open_program(a)
+        newer = ShardRecord(epoch=2, owner="a", standby="b")
+        cluster.set_record(newer, entries="b")
+        running = asyncio.create_task(final(a, chat("k1")))
+        await asyncio.sleep(0.5)
+        assert not running.done()
+        cluster.set_record(newer, entries="a")
+        assert isinstance(await running, Committed)
+        assert b.standby.program_count() == 1
+
+    run_virtual(main())
+
+
+def test_owner_that_missed_another_owner_takes_over_its_copy():
+    """Programs of before a pause must not replace what was committed since."""
+
+    async def main():
+        cluster = Cluster()
+        a, b = cluster.entries["a"], cluster.entries["b"]
+        await open_program(a)
+        second = ShardRecord(epoch=2, owner="b", standby="c")
+        cluster.set_record(second, entries="bc")
+        await final(b, chat("k1"))
+        third = ShardRecord(epoch=3, owner="a", standby="b")
+        assert await b.owner.copy_shard(SHARD, third, False)
+        assert await b.owner.copy_shard(SHARD, third, True)
+        cluster.set_record(third)
+        assert (await read_program(a)).turn_no == 1
+
+    run_virtual(main())
+
+
+def test_booking_moves_on_when_no_connection_came_about():
+    """A call that was certainly not sent must not end as unknown."""
+
+    async def main():
+        cluster = Cluster()
+        cluster.sidecars["s2"] = cluster._sidecar("s2", "service", "booking")
+        a = cluster.entries["a"]
+        await open_program(a)
+        cluster.sidecars["s1"].process.kill()
+        assert isinstance(await final(a, booking("k")), Committed)
+        assert len(cluster.runs) == 1
+
+    run_virtual(main())
