--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -11,7 +11,8 @@
 # A changed caller or service re-sends one part of about this size to every process.
 # With 32 kB parts, 16,000 changes a day cost 7 kB/s per node of the allowed 12 kB/s.
 PART_TARGET_BYTES = 4_096
-LINES_PER_TEXT_PART = 256
+# A change stores about this many lines of the operator's text again.
+LINES_PER_TEXT_PART = 96
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
 # The head travels to every process, so its list of changes is bounded.
@@ -45,3 +46,12 @@
 COLD_INTERVAL_S = 0.25
 RETRY_DOUBLINGS = 6
 WATCHER_CHECK_INTERVAL_S = 1.0
+HISTORY_MAX_COUNT = 200
+# JSON escapes can double the size of a text.
+REQUEST_MAX_BYTES = 2 * TEXT_MAX_BYTES + 100_000
+STATUS_SHOWN_BEHIND = 20
+
+RECONCILE_PREFIX = "reconcile/"
+# Share of a name's workers that load a proven version at the same time.
+ROLLOUT_SHARE = 0.1
+WEIGHT_STORE_BURST_S = 10.0
--- a/lentilroad/version/distribution.py
+++ b/lentilroad/version/distribution.py
@@ -20,7 +20,7 @@
 from lentilroad.version.gossip import Addresses, Call, VersionGossip
 from lentilroad.version.model import Configuration, ConfigurationVersion, Head
 from lentilroad.version.parts import decode_head, join_configuration
-from lentilroad.version.store import Applied
+from lentilroad.version.records import Applied
 from lentilroad.version.wanted import WantedHead
 from lentilroad.version.watch import watch_head
 from lentilroad.wire.messages import (
@@ -377,7 +377,11 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         for listener in self._listeners:
-            listener(self._current)
+            try:
+                listener(self._current)
+            except Exception:
+                # A faulty listener must not end the distribution.
+                eliot.write_traceback()
 
     def _note_error(self, text: str) -> None:
         if text != self._last_error:
