--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -206,12 +206,17 @@
 
     def on_changed(self, shard: str, record: ShardRecord) -> None:
         """Copy to the new standby; called when the pair of an owned shard changes."""
+        self._owned.on_changed(shard, record)
         self._upkeep.start_copy(shard)
 
     async def copy_shard(self, shard: str, record: ShardRecord, final: bool) -> bool:
         """Copy a shard to the entries of a planned record; see `ShardTable`."""
         return await self._upkeep.stage(shard, record, final=final)
 
+    def shards_held(self) -> list[str]:
+        """Return the shards whose programs are here, also while a move holds them."""
+        return self._owned.shards()
+
     async def run(self) -> None:
         """Do the regular work until cancelled: sweep, confirm, copy to standbys."""
         await self._upkeep.run()
@@ -300,6 +305,7 @@
             fingerprint=fingerprint,
             deadline_time_s=self._deadline_of(program.state, request),
         )
+        run.may_have_run = key in program.state.ran_keys
         run.note_emitted_text(request.emitted_text)
         self._begin(program, run)
         return run
@@ -353,7 +359,8 @@
             event = await execute_turn(self._dependencies, program, run)
         except LentilroadError as error:
             event = final_failure(error)
-            if run.dispatched and event.error.outcome == "not_run":
+            may_have_run = run.dispatched or run.may_have_run
+            if may_have_run and event.error.outcome == "not_run":
                 event.error.outcome = "unknown"
         finally:
             if acquired:
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -38,14 +38,17 @@
     """How one attempt ended.
 
     ``finished`` carries the result, ``refused`` an error with its own outcome and
-    the output so far, ``not_reached`` is proof that the call did not run, ``lost``
-    means that the sidecar cannot tell.
+    the output so far. ``not_reached`` and ``unreachable`` are proof that the call did
+    not run: the sidecar never saw it, or no connection came about. ``lost`` means
+    that the sidecar cannot tell.
     """
 
-    kind: Literal["finished", "refused", "not_reached", "lost"]
+    kind: Literal["finished", "refused", "not_reached", "unreachable", "lost"]
     finished: Finished | None = None
     error: LentilroadError | None = None
     text: str = ""
+    # Whether the sidecar held the call before it ended.
+    was_accepted: bool = False
 
 
 def backoff_s(attempt: int, random: Random) -> float:
@@ -107,14 +110,25 @@
                 outcome = await self._resolve(address, request, incarnation)
                 if outcome is not None:
                     return outcome
-            outcome = await self._follow(address, request, on_accepted)
+            is_first = attempt == 0 and not resolve_first
+            outcome = await self._follow(
+                address, request, on_accepted, is_first=is_first
+            )
             if outcome is not None:
+                if is_first:
+                    _note_first_refusal(outcome)
                 return outcome
         return await self._resolve(address, request, incarnation) or _lost()
 
     async def _follow(
-        self, address: str, request: DispatchRequest, on_accepted: Callable[[], None]
+        self,
+        address: str,
+        request: DispatchRequest,
+        on_accepted: Callable[[], None],
+        *,
+        is_first: bool,
     ) -> CallOutcome | None:
+        was_accepted = False
         try:
             async with aclosing(
                 self._stream(address, DISPATCH, request, None)
@@ -122,9 +136,13 @@
                 async for reply in replies:
                     outcome = _outcome_of(reply)
                     if outcome is not None:
+                        outcome.was_accepted = was_accepted
                         return outcome
+                    was_accepted = True
                     on_accepted()
-        except UnavailableError:
+        except LentilroadError as error:
+            if is_first and not was_accepted and error.outcome == "not_run":
+                return CallOutcome(kind="unreachable", error=error)
             return None
         return None
 
@@ -143,7 +161,7 @@
                 reply = await self._call(
                     address, RESOLVE, question, const.RESOLVE_TIMEOUT_S
                 )
-            except UnavailableError:
+            except LentilroadError:
                 await self._clock.sleep(backoff_s(attempt, self._random))
                 continue
             return _outcome_of_resolve(reply)
@@ -156,13 +174,24 @@
         for attempt in range(attempts):
             try:
                 await self._call(address, method, request, const.SIDECAR_CALL_TIMEOUT_S)
-            except UnavailableError:
+            except LentilroadError:
                 await self._clock.sleep(const.FORGET_BACKOFF_S * 2.0**attempt)
                 continue
             return True
         return False
 
 
+def _note_first_refusal(outcome: CallOutcome) -> None:
+    """Correct the outcome of a call that this process alone knows was never sent.
+
+    A sidecar that has restarted cannot exclude that its earlier process ran the call.
+    """
+    error = outcome.error
+    if outcome.was_accepted or not isinstance(error, UnavailableError):
+        return
+    error.outcome = "not_run"
+
+
 def _lost() -> CallOutcome:
     error = OutcomeUnknownError(
         "the sidecar of the upstream lost its records or cannot be reached; check at "
