--- a/lentilroad/bench/chains.py
+++ b/lentilroad/bench/chains.py
@@ -36,6 +36,8 @@
     # Part of the history that some engine has computed before.
     computed_tokens: int = 0
     ended_s: float | None = None
+    # Engines that ran a turn; cache events are too late to tell which still hold it.
+    used: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -52,7 +54,9 @@
     # Output that the caller has already seen before an engine died.
     produced_tokens: int = 0
     attempts: int = 0
+    retry_after_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
+    busy: set[str] = field(default_factory=set)
 
     @property
     def prompt_tokens(self) -> int:
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -39,7 +39,7 @@
 # p95 target of the time between tokens.
 TIME_PER_TOKEN_TARGET_S = 0.053
 # The mean is held below the p95 target.
-TIME_PER_TOKEN_MEAN_S = 0.9 * TIME_PER_TOKEN_TARGET_S
+TIME_PER_TOKEN_MEAN_S = 0.96 * TIME_PER_TOKEN_TARGET_S
 CONCURRENCY_INITIAL = 64
 CONCURRENCY_MIN = 1
 CONCURRENCY_MAX = 512
@@ -81,7 +81,7 @@
 PREFILL_WEIGHT = 1.0
 # Share of the upstream's memory that programs under way may hold before new ones
 # are refused; the rest is for their growth.
-NEW_PROGRAM_MEMORY_SHARE = 0.85
+NEW_PROGRAM_MEMORY_SHARE = 0.95
 # Share of the memory that running calls may hold; the rest is for the cached
 # prefixes of programs that pause, and for outputs longer than expected.
-RUNNING_MEMORY_SHARE = 0.7
+RUNNING_MEMORY_SHARE = 0.8
--- a/lentilroad/request/router.py
+++ b/lentilroad/request/router.py
@@ -16,6 +16,8 @@
     Choice,
     candidate_set,
     choose_upstream,
+    estimate_s,
+    traffic_bytes,
 )
 from lentilroad.request.traffic import CrossRegionTraffic
 from lentilroad.wire.messages import LoadReport, SidecarRecord
@@ -31,6 +33,7 @@
     sent_since_report: int = 0
     # Prompt tokens of each call until its first token, by call id.
     pending: dict[str, int] = field(default_factory=dict)
+    pending_tokens: int = 0
 
 
 class Router:
@@ -115,6 +118,7 @@
         call: CallShape,
         prefix_keys: Iterable[str] = (),
         excluded: frozenset[str] = frozenset(),
+        busy: frozenset[str] = frozenset(),
     ) -> Choice | None:
         """Return the best upstream for a call, None when none is healthy.
 
@@ -127,20 +131,42 @@
         prefix_keys : iterable of str
             The program's id and the names of shared prefixes of its prompt.
         excluded : frozenset of str
-            Addresses that have just refused or failed this call.
+            Addresses that failed this call or cannot be reached.
+        busy : frozenset of str
+            Addresses that have just refused this call because of their load. They
+            are not chosen, and are no reason to leave the region.
         """
         holders = self._holders(prefix_keys)
         pool = self._pools.get((name, call.region), [])
         addresses = candidate_set(
             holders=holders, pool=pool, random=self._random, draws=self._draws
         )
-        candidates = self._candidates(addresses, holders, name, excluded)
-        if self._traffic is not None or not _any_healthy(candidates, call.region):
-            addresses = self._remote_addresses(name, call.region)
-            candidates += self._candidates(addresses, holders, name, excluded)
-        if not candidates and pool:
-            candidates = self._candidates(pool, holders, name, excluded)
-        return choose_upstream(candidates=candidates, call=call, traffic=self._traffic)
+        local = self._candidates(addresses, holders, name, excluded, busy)
+        if not _any_healthy(local, call.region):
+            # All that were drawn are down; look at the others before leaving.
+            local = self._candidates(
+                dict.fromkeys([*addresses, *pool]), holders, name, excluded, busy
+            )
+        if _any_healthy(local, call.region) and not self._may_leave(local, call):
+            return choose_upstream(candidates=local, call=call)
+        remote = self._candidates(
+            self._remote_addresses(name, call.region), holders, name, excluded, busy
+        )
+        return choose_upstream(
+            candidates=local + remote, call=call, traffic=self._traffic
+        )
+
+    def _may_leave(self, candidates: list[Candidate], call: CallShape) -> bool:
+        # The gain is at most the whole estimate, which is cheaper to check than the
+        # estimates of other regions.
+        if self._traffic is None:
+            return False
+        least_s = min(
+            estimate_s(candidate, call)
+            for candidate in candidates
+            if _is_healthy(candidate, call.region)
+        )
+        return self._traffic.is_worth(size_bytes=traffic_bytes(call), gain_s=least_s)
 
     def started(self, address: str, *, call_id: str, prefill_tokens: int = 0) -> None:
         """Record a call that was sent."""
@@ -150,6 +176,7 @@
         known.in_flight += 1
         known.sent_since_report += 1
         known.pending[call_id] = prefill_tokens
+        known.pending_tokens += prefill_tokens
         known.breaker.started()
 
     def progressed(self, address: str, *, call_id: str) -> None:
@@ -157,8 +184,10 @@
         known = self._upstreams.get(address)
         if known is None:
             return
-        if call_id in known.pending:
+        tokens = known.pending.get(call_id, 0)
+        if tokens:
             known.pending[call_id] = 0
+            known.pending_tokens -= tokens
         known.breaker.progressed()
 
     def finished(self, address: str, *, call_id: str, succeeded: bool | None) -> None:
@@ -175,8 +204,10 @@
             cancelled, or refused because of its own content or of overload.
         """
         known = self._upstreams.get(address)
-        if known is None or known.pending.pop(call_id, None) is None:
+        tokens = None if known is None else known.pending.pop(call_id, None)
+        if known is None or tokens is None:
             return
+        known.pending_tokens -= tokens
         known.in_flight -= 1
         known.sent_since_report = max(0, known.sent_since_report - 1)
         if succeeded is None:
@@ -192,6 +223,7 @@
         holders: Mapping[str, int],
         name: str,
         excluded: frozenset[str],
+        busy: frozenset[str],
     ) -> list[Candidate]:
         now_s = self._clock.monotonic_s()
         found = []
@@ -207,8 +239,9 @@
                     in_flight=known.in_flight,
                     sent_since_report=known.sent_since_report,
                     cached_tokens=holders.get(address, 0),
-                    pending_prefill_tokens=sum(known.pending.values()),
+                    pending_prefill_tokens=known.pending_tokens,
                     breaker_allows=known.breaker.allows(),
+                    busy=address in busy,
                 )
             )
         return found
@@ -257,10 +290,13 @@
     return old.names != new.names or old.region != new.region
 
 
-def _any_healthy(candidates: Iterable[Candidate], region: str) -> bool:
-    return any(
+def _is_healthy(candidate: Candidate, region: str) -> bool:
+    return (
         candidate.record.region == region
         and candidate.record.state == "serving"
         and candidate.breaker_allows
-        for candidate in candidates
     )
+
+
+def _any_healthy(candidates: Iterable[Candidate], region: str) -> bool:
+    return any(_is_healthy(candidate, region) for candidate in candidates)
--- a/lentilroad/request/routing.py
+++ b/lentilroad/request/routing.py
@@ -27,6 +27,9 @@
     # Prompt tokens sent by this owner that are still to be computed there.
     pending_prefill_tokens: int = 0
     breaker_allows: bool = True
+    # It has just refused this call because of its load: not to be chosen, but not a
+    # reason to leave the region either.
+    busy: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -153,29 +156,40 @@
     """
     local: tuple[float, Candidate] | None = None
     remote: tuple[float, Candidate] | None = None
+    busy_s: float | None = None
     for candidate in candidates:
         if candidate.record.state != "serving" or not candidate.breaker_allows:
             continue
         cost_s = estimate_s(candidate, call)
-        if candidate.record.region == call.region:
+        is_local = candidate.record.region == call.region
+        if candidate.busy:
+            if is_local:
+                busy_s = cost_s if busy_s is None else min(busy_s, cost_s)
+        elif is_local:
             if local is None or cost_s < local[0]:
                 local = (cost_s, candidate)
         elif remote is None or cost_s < remote[0]:
             remote = (cost_s, candidate)
     if remote is None:
         return None if local is None else _choice(local, 0)
-    size_bytes = const.BYTES_PER_TOKEN * (call.prompt_tokens + call.output_tokens)
-    if local is None:
+    size_bytes = traffic_bytes(call)
+    stay_s = busy_s if local is None else local[0]
+    if stay_s is None:
         if traffic is not None:
             traffic.spend(call.caller_id, size_bytes=size_bytes)
         return _choice(remote, size_bytes)
     if traffic is None or not traffic.try_spend(
-        call.caller_id, size_bytes=size_bytes, gain_s=local[0] - remote[0]
+        call.caller_id, size_bytes=size_bytes, gain_s=stay_s - remote[0]
     ):
-        return _choice(local, 0)
+        return None if local is None else _choice(local, 0)
     return _choice(remote, size_bytes)
 
 
+def traffic_bytes(call: CallShape) -> int:
+    """Return the bytes of a call that leaves its region."""
+    return const.BYTES_PER_TOKEN * (call.prompt_tokens + call.output_tokens)
+
+
 def _choice(found: tuple[float, Candidate], billed_bytes: int) -> Choice:
     cost_s, candidate = found
     return Choice(
--- a/lentilroad/request/traffic.py
+++ b/lentilroad/request/traffic.py
@@ -41,9 +41,13 @@
         )
         self.bytes_by_caller: dict[str, int] = {}
 
+    def is_worth(self, *, size_bytes: int, gain_s: float) -> bool:
+        """Return whether the gain exceeds the price of the bytes."""
+        return gain_s * self._value > size_bytes * self._price
+
     def try_spend(self, caller_id: str, *, size_bytes: int, gain_s: float) -> bool:
         """Account the bytes if the gain exceeds their price and the bound allows."""
-        if gain_s * self._value <= size_bytes * self._price:
+        if not self.is_worth(size_bytes=size_bytes, gain_s=gain_s):
             return False
         if self._bucket.wait_s(size_bytes) > 0.0:
             return False
--- a/lentilroad/upstream/retention.py
+++ b/lentilroad/upstream/retention.py
@@ -91,6 +91,8 @@
     tool: str
     tokens: int
     since_s: float
+    # The next turn has arrived and waits in the queue.
+    waiting: bool = False
 
 
 class Retention:
@@ -135,9 +137,8 @@
 
     @property
     def held_tokens(self) -> int:
-        """Tokens cached or exported for programs that are paused."""
-        cached = sum(paused.tokens for paused in self._paused.values())
-        return cached + sum(self._exported.values())
+        """Tokens cached for programs that are paused or wait in the queue."""
+        return sum(paused.tokens for paused in self._paused.values())
 
     def paused(self, program_id: str, *, tool: str, tokens: int) -> None:
         """Record that a turn ended; `tool` is empty when it is not known."""
@@ -145,12 +146,22 @@
             tool=tool, tokens=tokens, since_s=self._clock.monotonic_s()
         )
 
+    def arrived(self, program_id: str) -> None:
+        """Record that the program's next turn waits in the queue."""
+        paused = self._paused.get(program_id)
+        if paused is None or paused.waiting:
+            return
+        paused.waiting = True
+        pause_s = self._clock.monotonic_s() - paused.since_s
+        self._sketch(paused.tool).observe(pause_s)
+
     def resumed(self, program_id: str) -> bool:
-        """Record the program's next turn; return whether its cache is exported."""
-        paused = self._paused.pop(program_id, None)
-        if paused is not None:
-            pause_s = self._clock.monotonic_s() - paused.since_s
-            self._sketch(paused.tool).observe(pause_s)
+        """Record that the next turn runs; return whether its cache is exported.
+
+        An exported cache is imported before the call is sent to the upstream.
+        """
+        self.arrived(program_id)
+        self._paused.pop(program_id, None)
         return self._return_export(program_id)
 
     def ended(self, program_id: str) -> bool:
@@ -170,6 +181,8 @@
     def remaining_s(self, program_id: str) -> float:
         """Return the expected time until the program's next turn."""
         paused = self._paused[program_id]
+        if paused.waiting:
+            return 0.0
         elapsed_s = self._clock.monotonic_s() - paused.since_s
         return self._sketch(paused.tool).remaining_s(elapsed_s)
 
