Key queued calls by value and add the expected duration of service calls

Cause: calls were compared by identity, so that equal call ids of another string object were not found (KeyError in finished). Change: calls are hashable keys; CallShape has service_s; tests cover starvation and the bounds on prompt tokens and memory. Conclusion: callers may queue call ids.

--- a/lentilroad/bench/rows.py
+++ b/lentilroad/bench/rows.py
@@ -208,7 +208,14 @@
             target=RECOVERY_S,
             baseline=average(sticky, _recovery_s),
             spread=spread(ours, _recovery_s),
-        )
+        ),
+        make_row(
+            "policy.fleet.recovery_to_level_of_remaining_engines",
+            average(ours, _settled_s),
+            "s",
+            baseline=average(sticky, _settled_s),
+            spread=spread(ours, _settled_s),
+        ),
     ]
 
 
@@ -262,6 +269,10 @@
     return math.nan if result.recovery_s is None else result.recovery_s
 
 
+def _settled_s(result: RunResult) -> float:
+    return math.nan if result.settled_s is None else result.settled_s
+
+
 def _rounded(value: float) -> float | None:
     if not math.isfinite(value):
         return None
--- a/lentilroad/bench/runs.py
+++ b/lentilroad/bench/runs.py
@@ -75,6 +75,7 @@
     worst_caller: float
     recovery_s: float | None
     events: int
+    settled_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -251,7 +252,8 @@
         dropped=tally.dropped_programs,
         unfinished=tally.unfinished_programs,
         worst_caller=_worst_caller(tally.latencies_s),
-        recovery_s=_recovery_s(spec, tally.turn_latencies),
+        recovery_s=_recovery_s(spec, tally.turn_latencies, settled=False),
+        settled_s=_recovery_s(spec, tally.turn_latencies, settled=True),
         events=simulation.clock.events,
     )
 
@@ -273,29 +275,38 @@
 
 
 def _recovery_s(
-    spec: RunSpec, turn_latencies: list[tuple[float, float]]
+    spec: RunSpec, turn_latencies: list[tuple[float, float]], *, settled: bool
 ) -> float | None:
     """Return the time until the p95 of turns is back within 10 %.
 
     It counts from the failure to the end of the last slice whose p95 is above 1.1
-    times the p95 before the failure, up to the restart.
+    times the p95 before the failure, up to the restart. With `settled` the reference
+    is the last third of the outage, that is the level of the engines that are left.
     """
     if spec.failure != "engine-dies":
         return None
     at_s = spec.warm_up_s + FAILURE_AT_S
-    before = [value for time_s, value in turn_latencies if time_s < at_s]
-    bound_s = 1.1 * percentile(before, 0.95)
+    end_s = at_s + FAILURE_LASTS_S
+    reference = _between(turn_latencies, 0.0, at_s)
+    if settled:
+        reference = _between(turn_latencies, end_s - FAILURE_LASTS_S / 3.0, end_s)
+    bound_s = 1.1 * percentile(reference)
     recovered_s = 0.0
     start_s = at_s
-    while start_s < at_s + FAILURE_LASTS_S:
-        end_s = start_s + RECOVERY_STEP_S
-        part = [value for time_s, value in turn_latencies if start_s <= time_s < end_s]
-        if part and percentile(part, 0.95) > bound_s:
-            recovered_s = end_s - at_s
-        start_s = end_s
+    while start_s < end_s:
+        part = _between(turn_latencies, start_s, start_s + RECOVERY_STEP_S)
+        start_s += RECOVERY_STEP_S
+        if part and percentile(part) > bound_s:
+            recovered_s = start_s - at_s
     return recovered_s
 
 
+def _between(
+    turn_latencies: list[tuple[float, float]], start_s: float, end_s: float
+) -> list[float]:
+    return [value for time_s, value in turn_latencies if start_s <= time_s < end_s]
+
+
 def percentile(values: list[float], share: float = 0.95) -> float:
     """Return a percentile by the nearest-rank method, NaN without values."""
     if not values:
--- a/lentilroad/request/queue.py
+++ b/lentilroad/request/queue.py
@@ -73,8 +73,8 @@
         self._concurrency = concurrency
         self._settings = settings or QueueSettings()
         self._callers: dict[str, CallerQueue[CallT]] = {}
-        self._entries: dict[int, Entry[CallT]] = {}
-        self._running: dict[int, RunningCall] = {}
+        self._entries: dict[CallT, Entry[CallT]] = {}
+        self._running: dict[CallT, RunningCall] = {}
         self._prefill_tokens = 0
         self._used_tokens = 0
         self._memory_tokens: int | None = None
@@ -138,7 +138,7 @@
         Parameters
         ----------
         call : CallT
-            The call; compared by identity.
+            The call or its id: hashable, and queued or running once at a time.
         priority : Priority
             What orders the queue.
         deadline_s : float, optional
@@ -175,7 +175,7 @@
             deadline_s=deadline_s,
             size=size,
         )
-        self._entries[id(call)] = entry
+        self._entries[call] = entry
         self._sequence += 1
         heap = self._caller(priority.caller_id).heap
         heappush(heap, (rank_s, self._sequence, entry))
@@ -197,11 +197,11 @@
             return None
         heappop(caller.heap)
         self._drop_removed(caller)
-        del self._entries[id(entry.call)]
+        del self._entries[entry.call]
         self._virtual_s = max(self._virtual_s, caller.tag_s)
         caller.tag_s += self._service_s
         caller.running += 1
-        self._running[id(entry.call)] = RunningCall(
+        self._running[entry.call] = RunningCall(
             caller_id=caller_id, charged_s=self._service_s, size=entry.size
         )
         self._prefill_tokens += entry.size.prefill_tokens
@@ -213,7 +213,7 @@
 
         Another call may be ready then.
         """
-        running = self._running.get(id(call))
+        running = self._running.get(call)
         if running is not None and running.in_prefill:
             running.in_prefill = False
             self._prefill_tokens -= running.size.prefill_tokens
@@ -249,7 +249,7 @@
             weight = const.SERVICE_EWMA_WEIGHT
             self._service_s += weight * (service_s - self._service_s)
         self.first_token(call)
-        running = self._running.pop(id(call))
+        running = self._running.pop(call)
         self._used_tokens -= running.size.memory_tokens
         caller = self._callers[running.caller_id]
         caller.running -= 1
@@ -264,7 +264,7 @@
 
     def remove(self, call: CallT) -> bool:
         """Drop a waiting call that was cancelled; return whether it was waiting."""
-        entry = self._entries.pop(id(call), None)
+        entry = self._entries.pop(call, None)
         if entry is None:
             return False
         entry.waiting = False
--- a/lentilroad/request/queue_entries.py
+++ b/lentilroad/request/queue_entries.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
 from lentilroad.request import const
 from lentilroad.wire.messages import Priority
 
-CallT = TypeVar("CallT")
+CallT = TypeVar("CallT", bound=Hashable)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lentilroad/request/routing.py
+++ b/lentilroad/request/routing.py
@@ -34,13 +34,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class CallShape:
-    """Size and origin of the call; `region` and zone are the owner's."""
+    """Size and origin of the call; `region` and zone are the owner's.
+
+    For a call to a service, `output_tokens` is 0 and `service_s` its usual duration.
+    """
 
     caller_id: str
     region: str
     availability_zone: str
     prompt_tokens: int = 0
     output_tokens: int = const.DEFAULT_OUTPUT_TOKENS
+    service_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -114,15 +118,14 @@
     limit = max(1, load.limit)
     fill = min(1.0, outstanding / limit)
     # The limit is where the time between tokens reaches its target.
-    time_per_token_s = const.TIME_PER_TOKEN_TARGET_S * (
-        const.EMPTY_BATCH_SHARE + (1.0 - const.EMPTY_BATCH_SHARE) * fill
-    )
+    slowness = const.EMPTY_BATCH_SHARE + (1.0 - const.EMPTY_BATCH_SHARE) * fill
+    time_per_token_s = const.TIME_PER_TOKEN_TARGET_S * slowness
     rate = load.prefill_tokens_per_s or const.DEFAULT_PREFILL_TOKENS_PER_S
     uncached = max(0, call.prompt_tokens - candidate.cached_tokens)
     prefill_s = (uncached + candidate.pending_prefill_tokens) / rate
     # Recomputation also delays the other calls of the batch.
     rebuild_s = const.REBUILD_WEIGHT * uncached / rate
-    decode_s = call.output_tokens * time_per_token_s
+    decode_s = call.output_tokens * time_per_token_s + call.service_s * slowness
     waiting = max(0.0, outstanding + 1.0 - limit)
     wait_s = waiting * (decode_s + prefill_s) / limit
     return wait_s + prefill_s + rebuild_s + decode_s + _distance_s(candidate, call)
--- a/tests/request/test_queue.py
+++ b/tests/request/test_queue.py
@@ -6,7 +6,7 @@
 
 from lentilroad.errors import OverloadedError
 from lentilroad.request.concurrency import ConcurrencyLimit
-from lentilroad.request.queue import CallQueue, QueueSettings
+from lentilroad.request.queue import CallQueue, CallSize, QueueSettings
 from lentilroad.wire.messages import Priority
 from tests.fakes.clock import ManualClock
 
@@ -157,3 +157,65 @@
     queue.push("y", priority=priority("b"))
     queue.refuse_all("the upstream hangs")
     assert {call for call, _ in queue.take_refused()} == {"x", "y"}
+
+
+def test_every_caller_is_served_within_a_bounded_time():
+    """Neither a rank nor another caller's load may starve a call."""
+    clock, queue = make_queue(limit=1)
+    queue.push(
+        "victim", priority=priority("small", under_way=False, attained_service_s=1e9)
+    )
+    for number in range(60):
+        rush = priority("big", interactive=True, remaining_depth=9)
+        queue.push(f"big{number}", priority=rush)
+        call = queue.pop_ready()
+        if call == "victim":
+            break
+        clock.now_s += 1.0
+        queue.finished(call, service_s=1.0)
+    assert call == "victim"
+    assert clock.now_s <= 20.0
+
+
+def test_large_prompts_do_not_fill_the_engine():
+    """The engine's own queue has no order, so it must stay short."""
+    _, queue = make_queue(limit=9, prefill_tokens_max=1000)
+    for number in range(3):
+        size = CallSize(prefill_tokens=800)
+        queue.push(f"call{number}", priority=priority(), size=size)
+    first, second = queue.pop_ready(), queue.pop_ready()
+    assert (first, second) == ("call0", "call1")
+    assert queue.pop_ready() is None
+    queue.first_token(first)
+    assert queue.pop_ready() == "call2"
+
+
+def test_running_calls_fit_the_memory():
+    """The engine must not evict prefixes for calls that could wait."""
+    _, queue = make_queue(limit=9, running_memory_share=0.5)
+    queue.set_upstream(memory_tokens=1000)
+    for number in range(2):
+        size = CallSize(memory_tokens=400)
+        queue.push(f"call{number}", priority=priority(), size=size)
+    assert queue.pop_ready() == "call0"
+    assert queue.pop_ready() is None
+    queue.finished("call0", service_s=1.0)
+    assert queue.pop_ready() == "call1"
+
+
+def test_call_larger_than_the_memory_still_runs():
+    """A bound must not block a call for ever."""
+    _, queue = make_queue()
+    queue.set_upstream(memory_tokens=1000)
+    size = CallSize(prefill_tokens=99_999, memory_tokens=99_999)
+    queue.push("huge", priority=priority(), size=size)
+    assert queue.pop_ready() == "huge"
+
+
+def test_full_memory_refuses_only_new_programs():
+    """Programs under way must go on when their caches fill the memory."""
+    _, queue = make_queue()
+    queue.set_upstream(memory_tokens=1000, under_way_tokens=990)
+    queue.push("old", priority=priority())
+    with pytest.raises(OverloadedError):
+        queue.push("new", priority=priority(under_way=False))
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -106,6 +106,20 @@
     assert chosen(local, remote, traffic=traffic) == "remote"
 
 
+def test_service_calls_go_to_the_less_loaded_upstream():
+    """Calls without tokens must be balanced as well."""
+    call = CallShape(
+        caller_id="a",
+        region="r0",
+        availability_zone="r0-a",
+        output_tokens=0,
+        service_s=0.2,
+    )
+    candidates = [candidate("full", running=60), candidate("idle", zone="b")]
+    choice = choose_upstream(candidates=candidates, call=call)
+    assert choice.record.address == "idle"
+
+
 def test_candidates_do_not_grow_with_the_fleet():
     """The cost of a decision must not depend on the number of upstreams."""
     pool = [f"u{number}" for number in range(3900)]
