Add hedging of idempotent calls and a shared duration sketch

Cause: one stalled service call delays a whole program. Change: a second attempt starts at the learned 95th percentile within a retry budget, for repeatable operations only; the sketch moves out of the retention.

--- a/lentilroad/bench/__main__.py
+++ b/lentilroad/bench/__main__.py
@@ -7,7 +7,8 @@
   --ci            Run only short deterministic runs with a fixed seed. Misses that
                   KNOWN-RED.txt lists are printed and do not fail the command.
   --suite NAMES   Comma-separated suites: load, failure, recovery, ablation,
-                  variation, decision [default: load,failure,recovery,decision].
+                  variation, decision, hedging
+                  [default: load,failure,recovery,decision,hedging].
   --workers N     Processes [default: 4].
   --results FILE  Keep the results of all runs in a file and take up those in it.
   --plot FILE     Draw the latency against the load of every policy.
@@ -25,17 +26,20 @@
 from docopt import docopt
 
 from lentilroad.bench.decision import decision_time_us
+from lentilroad.bench.hedged_calls import measure_hedging
 from lentilroad.bench.known_red import known_misses
 from lentilroad.bench.rows import (
     DECISION_US,
     Row,
     ci_rows,
     failure_rows,
+    hedging_rows,
     load_rows,
     make_row,
     recovery_rows,
 )
 from lentilroad.bench.suites import (
+    SEEDS,
     SUITES,
     Runs,
     ci_runs,
@@ -65,6 +69,8 @@
     if "decision" in suites:
         time_us = decision_time_us(workers=FLEET_WORKERS)
         rows.append(make_row("routing.decision", time_us, "us", target=DECISION_US))
+    if "hedging" in suites:
+        rows += hedging_rows([measure_hedging(seed) for seed in SEEDS])
     status = _print_rows(rows, set())
     if options["--tables"]:
         print(all_tables(runs))
--- a/lentilroad/bench/rows.py
+++ b/lentilroad/bench/rows.py
@@ -219,6 +219,21 @@
     ]
 
 
+def hedging_rows(measured: list[tuple[float, float, float]]) -> list[Row]:
+    """Return the p99 of hedged calls and what it costs, from one triple per seed."""
+    hedged, plain, attempts = (list(values) for values in zip(*measured, strict=True))
+    return [
+        make_row(
+            "hedging.p99",
+            mean(hedged),
+            "s",
+            baseline=mean(plain),
+            spread=pstdev(hedged),
+        ),
+        make_row("hedging.attempts_per_call", mean(attempts), "ratio", baseline=1.0),
+    ]
+
+
 def failure_rows(runs: Runs) -> list[Row]:
     """Return the p95 under each failure and the programs that it dropped."""
     rows = []
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -87,3 +87,9 @@
 # Share of the memory that running calls may hold; the rest is for the cached
 # prefixes of programs that pause, and for outputs longer than expected.
 RUNNING_MEMORY_SHARE = 0.8
+
+HEDGE_QUANTILE = 0.95
+# Fewer calls say nothing about a 95th percentile.
+HEDGE_SAMPLES_MIN = 50
+HEDGE_SHORTEST_S = 0.001
+HEDGE_OPERATIONS_MAX = 1_000
--- /dev/null
+++ b/lentilroad/sketch.py
@@ -0,0 +1,93 @@
+"""Decayed quantiles of durations, for pauses of tools and latencies of services."""
+
+from __future__ import annotations
+
+import math
+
+# Buckets, each a quarter wider, cover a range of 1 to 600,000.
+SKETCH_BUCKETS = 60
+SKETCH_SHORTEST_S = 0.05
+SKETCH_LOG_WIDTH = math.log(1.25)
+SKETCH_MEMORY = 500.0
+SKETCH_RESCALE_ABOVE = 1e12
+# Below this share of all observations the tail says too little.
+SKETCH_TAIL_SHARE = 1e-3
+UNKNOWN_DURATION_S = 10.0
+
+
+class DurationSketch:
+    """Decayed histogram of durations with logarithmic buckets.
+
+    Recent ones count more: after `memory` further observations one has lost about two
+    thirds of its weight.
+
+    Parameters
+    ----------
+    memory : float
+        Number of observations over which the sketch forgets.
+    shortest_s : float
+        Upper end of the first bucket, below which durations are not told apart.
+    """
+
+    __slots__ = ("_growth", "_next_weight", "_shortest_s", "_total", "_weights")
+
+    def __init__(
+        self, *, memory: float = SKETCH_MEMORY, shortest_s: float = SKETCH_SHORTEST_S
+    ) -> None:
+        self._shortest_s = shortest_s
+        self._weights = [0.0] * SKETCH_BUCKETS
+        self._growth = 1.0 + 1.0 / memory
+        self._next_weight = 1.0
+        self._total = 0.0
+
+    def observe(self, duration_s: float) -> None:
+        """Add one duration, in seconds."""
+        self._weights[self._bucket(duration_s)] += self._next_weight
+        self._total += self._next_weight
+        self._next_weight *= self._growth
+        if self._next_weight > SKETCH_RESCALE_ABOVE:
+            self._rescale()
+
+    def quantile_s(self, quantile: float) -> float | None:
+        """Return a quantile in seconds, None without observations."""
+        if self._total <= 0.0:
+            return None
+        left = quantile * self._total
+        for index, weight in enumerate(self._weights):
+            left -= weight
+            if left <= 0.0 and weight > 0.0:
+                return self._middle_s(index)
+        return self._middle_s(SKETCH_BUCKETS - 1)
+
+    def remaining_s(self, elapsed_s: float) -> float:
+        """Return the mean time left of what has lasted `elapsed_s`.
+
+        Without any observed duration that long, it is expected to go on for as long
+        again, as heavy-tailed durations do.
+        """
+        first = self._bucket(elapsed_s) if elapsed_s > 0.0 else 0
+        weight_sum = 0.0
+        left_sum = 0.0
+        for index in range(first, SKETCH_BUCKETS):
+            weight = self._weights[index]
+            if weight > 0.0:
+                weight_sum += weight
+                left_sum += weight * max(0.0, self._middle_s(index) - elapsed_s)
+        if weight_sum <= SKETCH_TAIL_SHARE * self._total:
+            return max(UNKNOWN_DURATION_S, elapsed_s)
+        return left_sum / weight_sum
+
+    def _rescale(self) -> None:
+        scale = 1.0 / self._next_weight
+        self._weights = [weight * scale for weight in self._weights]
+        self._total *= scale
+        self._next_weight = 1.0
+
+    def _bucket(self, duration_s: float) -> int:
+        if duration_s <= self._shortest_s:
+            return 0
+        index = int(math.log(duration_s / self._shortest_s) / SKETCH_LOG_WIDTH)
+        return min(SKETCH_BUCKETS - 1, index)
+
+    def _middle_s(self, index: int) -> float:
+        return self._shortest_s * math.exp(SKETCH_LOG_WIDTH * (index + 0.5))
--- a/lentilroad/upstream/retention.py
+++ b/lentilroad/upstream/retention.py
@@ -2,82 +2,18 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Literal
 
 from lentilroad.clock import Clock
+from lentilroad.sketch import DurationSketch
 from lentilroad.upstream import retention_const as const
 
 Action = Literal["export", "drop"]
 
 
-class PauseSketch:
-    """Decayed histogram of pause lengths with logarithmic buckets.
-
-    Recent pauses count more: after `memory` further pauses an observation has lost
-    about two thirds of its weight.
-
-    Parameters
-    ----------
-    memory : float
-        Number of pauses over which the sketch forgets.
-    """
-
-    __slots__ = ("_growth", "_next_weight", "_total", "_weights")
-
-    def __init__(self, *, memory: float = const.SKETCH_MEMORY_PAUSES) -> None:
-        self._weights = [0.0] * const.SKETCH_BUCKETS
-        self._growth = 1.0 + 1.0 / memory
-        self._next_weight = 1.0
-        self._total = 0.0
-
-    def observe(self, pause_s: float) -> None:
-        """Add one pause, in seconds."""
-        self._weights[_bucket(pause_s)] += self._next_weight
-        self._total += self._next_weight
-        self._next_weight *= self._growth
-        if self._next_weight > const.SKETCH_RESCALE_ABOVE:
-            self._rescale()
-
-    def quantile_s(self, quantile: float) -> float | None:
-        """Return a quantile in seconds, None without observations."""
-        if self._total <= 0.0:
-            return None
-        left = quantile * self._total
-        for index, weight in enumerate(self._weights):
-            left -= weight
-            if left <= 0.0 and weight > 0.0:
-                return _middle_s(index)
-        return _middle_s(const.SKETCH_BUCKETS - 1)
-
-    def remaining_s(self, elapsed_s: float) -> float:
-        """Return the mean time left of a pause that has lasted `elapsed_s`.
-
-        Without any observed pause that long, the pause is expected to go on for as
-        long again, as heavy-tailed pauses do.
-        """
-        first = _bucket(elapsed_s) if elapsed_s > 0.0 else 0
-        weight_sum = 0.0
-        left_sum = 0.0
-        for index in range(first, const.SKETCH_BUCKETS):
-            weight = self._weights[index]
-            if weight > 0.0:
-                weight_sum += weight
-                left_sum += weight * max(0.0, _middle_s(index) - elapsed_s)
-        if weight_sum <= const.SKETCH_TAIL_SHARE * self._total:
-            return max(const.UNKNOWN_PAUSE_S, elapsed_s)
-        return left_sum / weight_sum
-
-    def _rescale(self) -> None:
-        scale = 1.0 / self._next_weight
-        self._weights = [weight * scale for weight in self._weights]
-        self._total *= scale
-        self._next_weight = 1.0
-
-
 @dataclass(slots=True, kw_only=True)
 class Victim:
     """Cache to give up, and how."""
@@ -133,7 +69,7 @@
         self._export_left = export_capacity_tokens
         self._exported: dict[str, int] = {}
         self._paused: dict[str, _Paused] = {}
-        self._sketches: OrderedDict[str, PauseSketch] = OrderedDict()
+        self._sketches: OrderedDict[str, DurationSketch] = OrderedDict()
 
     @property
     def held_tokens(self) -> int:
@@ -232,22 +168,11 @@
         self._export_left += tokens
         return True
 
-    def _sketch(self, tool: str) -> PauseSketch:
+    def _sketch(self, tool: str) -> DurationSketch:
         sketch = self._sketches.get(tool)
         if sketch is None:
-            sketch = self._sketches[tool] = PauseSketch()
+            sketch = self._sketches[tool] = DurationSketch()
             if len(self._sketches) > const.TOOLS_MAX:
                 self._sketches.popitem(last=False)
         self._sketches.move_to_end(tool)
         return sketch
-
-
-def _bucket(pause_s: float) -> int:
-    if pause_s <= const.SKETCH_SHORTEST_S:
-        return 0
-    index = int(math.log(pause_s / const.SKETCH_SHORTEST_S) / const.SKETCH_LOG_WIDTH)
-    return min(const.SKETCH_BUCKETS - 1, index)
-
-
-def _middle_s(index: int) -> float:
-    return const.SKETCH_SHORTEST_S * math.exp(const.SKETCH_LOG_WIDTH * (index + 0.5))
--- /dev/null
+++ b/tests/test_sketch.py
@@ -0,0 +1,47 @@
+"""Guard against learned durations that are wrong, stale or not finite."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from lentilroad.sketch import DurationSketch
+
+
+def test_sketch_follows_the_quantiles():
+    """A learned pause length must be close to the real one."""
+    random = Random(1)
+    sketch = DurationSketch(memory=1e6)
+    values = sorted(random.lognormvariate(1.0, 1.0) for _ in range(5000))
+    for value in random.sample(values, len(values)):
+        sketch.observe(value)
+    for quantile in (0.1, 0.5, 0.9):
+        exact = values[int(quantile * len(values))]
+        assert sketch.quantile_s(quantile) == pytest.approx(exact, rel=0.15)
+
+
+def test_sketch_forgets_old_pauses():
+    """A tool that has become slow must not be judged by its past."""
+    sketch = DurationSketch(memory=50.0)
+    for _ in range(1000):
+        sketch.observe(0.5)
+    for _ in range(200):
+        sketch.observe(20.0)
+    assert sketch.quantile_s(0.5) == pytest.approx(20.0, rel=0.15)
+
+
+def test_long_observation_keeps_the_weights_finite():
+    """Growing weights must be rescaled before they overflow."""
+    sketch = DurationSketch(memory=10.0)
+    for _ in range(10_000):
+        sketch.observe(2.0)
+    assert sketch.remaining_s(0.0) == pytest.approx(2.0, rel=0.15)
+
+
+def test_remaining_time_of_an_unusually_long_pause_grows():
+    """A pause beyond all experience must not look as if it ended soon."""
+    sketch = DurationSketch()
+    for _ in range(100):
+        sketch.observe(1.0)
+    assert sketch.remaining_s(60.0) >= 60.0
