--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -58,3 +58,6 @@
 # Share of a name's workers that load a proven version at the same time.
 ROLLOUT_SHARE = 0.1
 WEIGHT_STORE_BURST_S = 10.0
+RECONCILE_INTERVAL_S = 1.0
+# An upstream reports a started load within seconds; its reports lag.
+COMMAND_REPORT_TIMEOUT_S = 30.0
--- a/lentilroad/version/reconcile.py
+++ b/lentilroad/version/reconcile.py
@@ -71,19 +71,19 @@
         Rate of the store.
     """
 
-    __slots__ = ("_bytes_per_s", "_clock", "_filled_s", "_free_bytes")
+    __slots__ = ("_clock", "_filled_s", "_free_bytes", "bytes_per_s")
 
     def __init__(self, *, clock: Clock, bytes_per_s: int) -> None:
         self._clock = clock
-        self._bytes_per_s = bytes_per_s
+        self.bytes_per_s = bytes_per_s
         self._free_bytes = bytes_per_s * WEIGHT_STORE_BURST_S
         self._filled_s = clock.monotonic_s()
 
     def take(self, size_bytes: int) -> bool:
         """Reserve a load; a load above the burst makes later ones wait longer."""
         now_s = self._clock.monotonic_s()
-        filled = (now_s - self._filled_s) * self._bytes_per_s
-        burst = self._bytes_per_s * WEIGHT_STORE_BURST_S
+        filled = (now_s - self._filled_s) * self.bytes_per_s
+        burst = self.bytes_per_s * WEIGHT_STORE_BURST_S
         self._free_bytes = min(burst, self._free_bytes + filled)
         self._filled_s = now_s
         if size_bytes and self._free_bytes <= 0:
