Remove old versions from the key-value service

HistorySweeper keeps 5,000 versions. The random schedules run a sweeper that keeps 2 or 5 versions, and their checker rejects a history whose newest version lacks a part.

--- a/lentilroad/bench/configuration_checker.py
+++ b/lentilroad/bench/configuration_checker.py
@@ -11,6 +11,7 @@
              ``content``
 ``stored``   one version of the service at the end: ``version``, ``parent``,
              ``write_id``
+``lost_part`` ``digest``: the newest version's part that the service lacks at the end
 ``final``    ``process``, ``version``: what is in force after all faults ended
 """
 
@@ -33,6 +34,7 @@
         *_accepted_in_order(events),
         *_processes_never_step_back(events),
         *_everyone_ends_at_the_newest(events),
+        *(f"part {one['digest']} was lost" for one in _of(events, "lost_part")),
     ]
 
 
--- a/lentilroad/bench/configuration_schedules.py
+++ b/lentilroad/bench/configuration_schedules.py
@@ -32,12 +32,13 @@
 from lentilroad.clock import LoopClock
 from lentilroad.errors import ConflictError, LentilroadError
 from lentilroad.standins.virtual_loop import run_virtual
-from lentilroad.version.const import HEAD_KEY, VERSION_PREFIX
+from lentilroad.version.const import HEAD_KEY, PART_PREFIX
 from lentilroad.version.distribution import Distribution
 from lentilroad.version.model import ConfigurationVersion
 from lentilroad.version.parts import decode_head
 from lentilroad.version.records import Applied
 from lentilroad.version.store import ConfigurationStore
+from lentilroad.version.sweep import HistorySweeper
 from lentilroad.version.watch import is_watcher
 
 ENTRIES = ("e0.0", "e1.0", "e2.1", "e3.1", "e4.1")
@@ -211,6 +212,24 @@
             fault = self.random.choice([self._outage, self._restart, self._split])
             await fault()
 
+    async def sweep(self) -> None:
+        """Remove old versions all the time, with very little history kept."""
+        sweeper = HistorySweeper(
+            key_value=self.key_value,
+            clock=self.clock,
+            keep_versions=self.random.choice([2, 5]),
+        )
+        while self.clock.monotonic_s() < FAULTS_UNTIL_S:
+            await self.clock.sleep(self.random.uniform(0.0, 2.0))
+            sweeping = asyncio.create_task(sweeper.sweep())
+            # A sweeper may die at any moment, too.
+            limit_s = self.random.choice([0.3, 60.0, 60.0])
+            await asyncio.wait({sweeping}, timeout=limit_s)
+            sweeping.cancel()
+            (result,) = await asyncio.gather(sweeping, return_exceptions=True)
+            if isinstance(result, int) and result:
+                self.history.append({"kind": "swept", "versions": result})
+
     async def _outage(self) -> None:
         self.key_value.set_down(True)
         await self.clock.sleep(self.random.uniform(0.1, 8.0))
@@ -235,7 +254,9 @@
         for address in (*ENTRIES, *SIDECARS):
             self.start(address)
         await asyncio.gather(
-            *(self.operate(name) for name in OPERATORS), self.inject_faults()
+            *(self.operate(name) for name in OPERATORS),
+            self.inject_faults(),
+            self.sweep(),
         )
         self.key_value.set_down(False)
         await self.clock.sleep(SETTLE_S)
@@ -245,19 +266,20 @@
         return self.history
 
     def _record_end(self) -> None:
-        for key, item in self.key_value.items.items():
-            if key != HEAD_KEY and not key.startswith(VERSION_PREFIX):
-                continue
-            head = decode_head(item.value)
-            event = {
-                "kind": "stored",
-                "version": head.version,
-                "parent": head.parent,
-                "write_id": head.write_id,
-            }
-            # A record of the head's version exists when a later change was refused.
-            if event not in self.history:
-                self.history.append(event)
+        head = None
+        for value in self.key_value.written.get(HEAD_KEY, []):
+            head = decode_head(value)
+            self.history.append(
+                {
+                    "kind": "stored",
+                    "version": head.version,
+                    "parent": head.parent,
+                    "write_id": head.write_id,
+                }
+            )
+        for digest in [*head.parts, *head.text_parts] if head else ():
+            if PART_PREFIX + digest not in self.key_value.items:
+                self.history.append({"kind": "lost_part", "digest": digest})
         for address, distribution in self.running.items():
             self.history.append(
                 {"kind": "final", "process": address, "version": distribution.version}
@@ -277,7 +299,7 @@
 def run_schedules(*, count: int, first_seed: int = 1) -> dict[str, Any]:
     """Run schedules and count violations and what they covered."""
     totals = {"schedules": count, "changes": 0, "accepted": 0, "refused": 0}
-    totals |= {"unknown": 0, "in_force": 0, "cold_steps_back": 0}
+    totals |= {"unknown": 0, "in_force": 0, "cold_steps_back": 0, "swept": 0}
     violations: dict[int, list[str]] = {}
     for seed in range(first_seed, first_seed + count):
         history = run_schedule(seed)
@@ -289,6 +311,7 @@
         for event in history:
             if event["kind"] in ("accepted", "refused", "unknown", "in_force"):
                 totals[event["kind"]] += 1
+            totals["swept"] += event.get("versions", 0)
     return {**totals, "violations": violations}
 
 
--- a/lentilroad/bench/memory_key_value.py
+++ b/lentilroad/bench/memory_key_value.py
@@ -47,6 +47,8 @@
         self.late_writes = late_writes
         self.down = False
         self.items: dict[str, KeyValueItem] = {}
+        # Every value that each key ever had, for checks after a run.
+        self.written: dict[str, list[bytes]] = {}
         self.revision = 0
         # Calls that began in each second.
         self.reads: Counter[int] = Counter()
@@ -100,6 +102,7 @@
         self.revision += 1
         revision = self.revision
         self.items[key] = KeyValueItem(key=key, value=value, revision=revision)
+        self.written.setdefault(key, []).append(value)
         self._wake()
         return revision
 
--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -12,11 +12,16 @@
 # With 32 kB parts, 16,000 changes a day cost 7 kB/s per node of the allowed 12 kB/s.
 PART_TARGET_BYTES = 4_096
 # A change stores about this many lines of the operator's text again.
-LINES_PER_TEXT_PART = 96
+LINES_PER_TEXT_PART = 24
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
 # The head travels to every process, so its list of changes is bounded.
 CHANGES_IN_HEAD = 16
+SWEPT_KEY = "config/swept"
+# 16,000 changes a day leave about 10 kB each in the service: 7.5 hours of history.
+KEPT_HISTORY_VERSIONS = 5_000
+SWEEP_BATCH = 100
+SWEEP_MAX_S = 30.0
 HISTORY_DEFAULT_COUNT = 20
 
 WATCHERS_PER_REGION = 2
--- a/lentilroad/version/records.py
+++ b/lentilroad/version/records.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import eliot
+
 from lentilroad.adapters.key_value import KeyValueStore
 from lentilroad.errors import (
     ConflictError,
@@ -84,6 +86,24 @@
     raise unchanged_error()
 
 
+async def rewrite_swept(
+    key_value: KeyValueStore,
+    parts: dict[str, bytes],
+    *,
+    pause: Callable[[int], Awaitable[None]],
+) -> None:
+    """Write parts again that a sweep removed before the head was written."""
+    try:
+        for digest, value in parts.items():
+            if await key_value.read(key=PART_PREFIX + digest) is None:
+                await write_once(key_value, PART_PREFIX + digest, value, pause=pause)
+    except UnavailableError as error:
+        # The change is accepted; the sweep makes the same check on its side.
+        eliot.log_message(
+            message_type="version:parts_not_confirmed", reason=error.message
+        )
+
+
 def unknown_error(write_id: str) -> OutcomeUnknownError:
     """Return the error of a change that may have taken effect."""
     return OutcomeUnknownError(
--- a/lentilroad/version/store.py
+++ b/lentilroad/version/store.py
@@ -40,6 +40,7 @@
     Applied,
     before_write_error,
     read_part,
+    rewrite_swept,
     same_content,
     unchanged_error,
     unknown_error,
@@ -135,11 +136,13 @@
             return []
         newest = head.version if before is None else min(before - 1, head.version)
         found = []
-        for version in range(newest, max(newest - count, 0), -1):
-            if version == head.version:
-                found.append(head)
-            else:
-                found.append(await self._read_record(version))
+        try:
+            for version in range(newest, max(newest - count, 0), -1):
+                is_head = version == head.version
+                found.append(head if is_head else await self._read_record(version))
+        except NotFoundError:
+            # Older versions have been swept.
+            pass
         return found
 
     async def apply(
@@ -199,12 +202,13 @@
         try:
             old = await self.read_version(version)
             parts = await self._read_parts(old.parts)
+            text_parts = await self._read_parts(old.text_parts)
         except UnavailableError as error:
             raise before_write_error(write_id) from error
         return await self._change(
             configuration=join_configuration(parts.values()),
             parts=parts,
-            text_parts={},
+            text_parts=text_parts,
             text_digests=old.text_parts,
             author=author,
             based_on_version=based_on_version,
@@ -260,6 +264,8 @@
             action="rollback" if restored is not None else "apply",
         )
         head = await self._swap_head(head, item, configuration)
+        new = {k: v for k, v in {**parts, **text_parts}.items() if k not in known}
+        await rewrite_swept(self._key_value, new, pause=self._pause)
         return await self._applied(head, parts)
 
     async def _changes(
@@ -294,7 +300,10 @@
             return None
         head = current
         if current.version > version:
-            head = await self._read_record(version)
+            try:
+                head = await self._read_record(version)
+            except NotFoundError as error:
+                raise unknown_error(write_id) from error
         return head if head.write_id == write_id else None
 
     async def _swap_head(
--- a/tests/bench/test_configuration_checker.py
+++ b/tests/bench/test_configuration_checker.py
@@ -78,6 +78,7 @@
         (_stored(4), "not 1 to n"),
         (_stored(3, parent=1), "has parent 1"),
         ({"kind": "refused", "write_id": "w2"}, "both refused and accepted"),
+        ({"kind": "lost_part", "digest": "d1"}, "part d1 was lost"),
         ({"kind": "final", "process": "e2", "version": 1}, "ended at version 1"),
     ],
 )
