Repair a service that lacks parts of the version in force

Applying a file again did not repair a missing part: an unchanged text was not written, and every other change failed while the earlier version could not be read. An unchanged apply now writes missing parts, and a change whose predecessor cannot be read writes all of its parts.

--- a/lentilroad/version/store.py
+++ b/lentilroad/version/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import eliot
 
@@ -18,7 +18,6 @@
 from lentilroad.version.const import (
     CHANGES_IN_HEAD,
     HEAD_KEY,
-    HISTORY_DEFAULT_COUNT,
     PART_PREFIX,
     RETRY_MAX_S,
     RETRY_MIN_S,
@@ -36,10 +35,10 @@
     split_configuration,
     split_text,
 )
+from lentilroad.version.reader import ConfigurationReader
 from lentilroad.version.records import (
     Applied,
     before_write_error,
-    read_part,
     rewrite_swept,
     same_content,
     unchanged_error,
@@ -52,7 +51,7 @@
 OnApplied = Callable[[Applied], Awaitable[None]]
 
 
-class ConfigurationStore:
+class ConfigurationStore(ConfigurationReader):
     """Versions of the operators' configuration; versions only increase.
 
     Parameters
@@ -69,7 +68,7 @@
         Returns a part that this process holds, such as `Distribution.held_part`;
         saves reads of the service.
     new_write_id : Callable, optional
-        Returns a unique id for a change that brings none.
+        Makes a unique id.
     """
 
     def __init__(
@@ -82,69 +81,15 @@
         local_part: Callable[[str], bytes | None] = lambda digest: None,
         new_write_id: Callable[[], str] | None = None,
     ) -> None:
-        self._key_value = key_value
+        super().__init__(key_value=key_value, local_part=local_part)
         self._clock = clock
         self._random = random or random_module.SystemRandom()
         self._on_applied = on_applied
-        self._local_part = local_part
         self._new_write_id = new_write_id or self._random_write_id
 
     def _random_write_id(self) -> str:
         return f"{self._random.getrandbits(128):032x}"
 
-    async def read_head(self) -> Head | None:
-        """Return the newest accepted head, or None before the first one."""
-        item = await self._key_value.read(key=HEAD_KEY)
-        return decode_head(item.value) if item else None
-
-    async def read_version(self, version: int) -> Head:
-        """Return the head of one version.
-
-        Raises
-        ------
-        NotFoundError
-            The version does not exist.
-        """
-        head = await self.read_head()
-        if head is not None and head.version == version:
-            return head
-        return await self._read_record(version)
-
-    async def read_configuration(self, head: Head) -> Configuration:
-        """Return the typed configuration of a version."""
-        return join_configuration((await self._read_parts(head.parts)).values())
-
-    async def read_text(self, head: Head) -> str:
-        """Return the text that the operator applied."""
-        values = await self._read_parts(head.text_parts)
-        return b"".join(values[digest] for digest in head.text_parts).decode()
-
-    async def history(
-        self, count: int = HISTORY_DEFAULT_COUNT, *, before: int | None = None
-    ) -> list[Head]:
-        """Return who changed what and when, newest first.
-
-        Parameters
-        ----------
-        count : int
-            Versions to return at most.
-        before : int, optional
-            Return only versions below this one.
-        """
-        head = await self.read_head()
-        if head is None:
-            return []
-        newest = head.version if before is None else min(before - 1, head.version)
-        found = []
-        try:
-            for version in range(newest, max(newest - count, 0), -1):
-                is_head = version == head.version
-                found.append(head if is_head else await self._read_record(version))
-        except NotFoundError:
-            # Older versions have been swept.
-            pass
-        return found
-
     async def apply(
         self,
         text: str,
@@ -238,14 +183,13 @@
             if (current.version if current else 0) != based_on_version:
                 raise await self._conflict(current, based_on_version, configuration)
             if current is not None and same_content(current, parts, text_digests):
+                # Repairs a service that lacks a part of the version in force.
+                await self._rewrite({**parts, **text_parts})
+                value = encode_head(current)
                 return Applied(
-                    head=current,
-                    head_value=encode_head(current),
-                    parts=parts,
-                    changed=False,
+                    head=current, head_value=value, parts=parts, changed=False
                 )
-            changes = await self._changes(current, configuration)
-            known = {*current.parts, *current.text_parts} if current else set()
+            changes, known = await self._changes(current, configuration)
             await self._write_parts({**parts, **text_parts}, known)
             if item is not None:
                 await self._write_once(version_key(based_on_version), item.value)
@@ -265,18 +209,24 @@
         )
         head = await self._swap_head(head, item, configuration)
         new = {k: v for k, v in {**parts, **text_parts}.items() if k not in known}
-        await rewrite_swept(self._key_value, new, pause=self._pause)
+        await self._rewrite(new)
         return await self._applied(head, parts)
 
     async def _changes(
         self, current: Head | None, configuration: Configuration
-    ) -> list[str]:
-        before = await self.read_configuration(current) if current else None
+    ) -> tuple[list[str], set[str]]:
+        """Return what changes, and the digests that need not be written."""
+        if current is None:
+            return [], set()
+        try:
+            before = await self.read_configuration(current)
+        except NotFoundError as error:
+            return [f"unknown: {error.message}"], set()
         changes = [str(one) for one in diff_configurations(before, configuration)]
-        if len(changes) <= CHANGES_IN_HEAD:
-            return changes
         rest = len(changes) - CHANGES_IN_HEAD
-        return [*changes[:CHANGES_IN_HEAD], f"and {rest} more changes"]
+        if rest > 0:
+            changes = [*changes[:CHANGES_IN_HEAD], f"and {rest} more changes"]
+        return changes, {*current.parts, *current.text_parts}
 
     async def _applied(self, head: Head, parts: dict[str, bytes]) -> Applied:
         eliot.log_message(
@@ -309,10 +259,10 @@
     async def _swap_head(
         self, head: Head, item: KeyValueItem | None, configuration: Configuration
     ) -> Head:
-        """Replace the head; a lost answer is resolved by the write id.
+        """Replace the head and return the stored one.
 
         Every attempt expects the same revision, so at most one of them takes
-        effect, even when an earlier one arrives late. Returns the stored head.
+        effect, even when an earlier one arrives late.
         """
         may_be_written = False
         for attempt in range(WRITE_ATTEMPTS):
@@ -364,21 +314,6 @@
             read_configuration=self.read_configuration,
         )
 
-    async def _read_record(self, version: int) -> Head:
-        item = await self._key_value.read(key=version_key(version))
-        if item is None:
-            raise NotFoundError(
-                f"version {version} does not exist; `lentilroad history` lists versions"
-            )
-        return decode_head(item.value)
-
-    async def _read_parts(self, digests: Iterable[str]) -> dict[str, bytes]:
-        parts = {}
-        for digest in digests:
-            local = self._local_part(digest)
-            parts[digest] = local or await read_part(self._key_value, digest)
-        return parts
-
     async def _write_parts(self, parts: dict[str, bytes], known: set[str]) -> None:
         new = [digest for digest in parts if digest not in known]
         for index, digest in enumerate(new):
@@ -386,6 +321,9 @@
                 await self._clock.sleep(WRITE_PAUSE_S)
             await self._write_once(PART_PREFIX + digest, parts[digest])
 
+    async def _rewrite(self, parts: dict[str, bytes]) -> None:
+        await rewrite_swept(self._key_value, parts, pause=self._pause)
+
     async def _write_once(self, key: str, value: bytes) -> None:
         await write_once(self._key_value, key, value, pause=self._pause)
 
--- a/tests/version/test_store.py
+++ b/tests/version/test_store.py
@@ -172,3 +172,22 @@
         assert len(new) == 1
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("text", [TEXT, LONGER])
+def test_lost_part_is_repaired_by_the_next_apply(text):
+    """A version that lacks a part must not make every later change fail."""
+
+    async def main():
+        key_value = FakeKeyValueStore()
+        store = _store(key_value)
+        first = await store.apply(TEXT, "ana", 0)
+        for digest in (*first.head.parts, *first.head.text_parts):
+            del key_value.items[f"config/part/{digest}"]
+        applied = await store.apply(text, "ana", 1)
+        head = await store.read_head()
+        assert head == applied.head
+        await store.read_configuration(head)
+        assert await store.read_text(head) == text
+
+    run_virtual(main())
