Bound the number of parts that a head names

A document of 8 MB had about 2,000 configuration parts and 3,200 text parts, so every process received a head of more than 150 kB with each change. Sections now have at most 64 parts, which grow instead.

--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -13,6 +13,8 @@
 PART_TARGET_BYTES = 4_096
 # A change stores about this many lines of the operator's text again.
 LINES_PER_TEXT_PART = 24
+# The head names every part and travels to every process, so it stays small.
+PARTS_PER_SECTION_MAX = 64
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
 # The head travels to every process, so its list of changes is bounded.
--- a/lentilroad/version/parts.py
+++ b/lentilroad/version/parts.py
@@ -14,6 +14,7 @@
     DIGEST_BYTES,
     LINES_PER_TEXT_PART,
     PART_TARGET_BYTES,
+    PARTS_PER_SECTION_MAX,
     VALUE_MAX_BYTES,
 )
 from lentilroad.version.model import Configuration, Head
@@ -81,7 +82,10 @@
         return []
     size_bytes = len(_encode(section, entries))
     bucket_count = 1
-    while size_bytes / bucket_count > PART_TARGET_BYTES:
+    while (
+        size_bytes / bucket_count > PART_TARGET_BYTES
+        and bucket_count < PARTS_PER_SECTION_MAX
+    ):
         bucket_count *= 2
     buckets: dict[int, dict[str, Any]] = {}
     for name, value in entries.items():
@@ -121,10 +125,15 @@
     """Divide the operator's text at line ends into values, in reading order."""
     parts: list[bytes] = []
     current = bytearray()
-    for line in text.splitlines(keepends=True):
+    lines = text.splitlines(keepends=True)
+    # Doubles with the size, so that a small edit seldom changes it.
+    lines_per_part = LINES_PER_TEXT_PART
+    while len(lines) / lines_per_part > PARTS_PER_SECTION_MAX:
+        lines_per_part *= 2
+    for line in lines:
         encoded = line.encode()
         # Cuts depend on the content, so an insertion does not move later cuts.
-        cut = xxhash.xxh32_intdigest(encoded) % LINES_PER_TEXT_PART == 0
+        cut = xxhash.xxh32_intdigest(encoded) % lines_per_part == 0
         if current and (cut or len(current) + len(encoded) > VALUE_MAX_BYTES):
             parts.append(bytes(current))
             current.clear()
--- a/tests/cli/test_configuration.py
+++ b/tests/cli/test_configuration.py
@@ -242,3 +242,12 @@
     """The command modules must not break the entry point."""
     assert main(["version", "--json"]) == 0
     assert "version" in json.loads(capsys.readouterr().out)
+
+
+async def test_text_above_one_megabyte_reaches_the_store(tmp_path, capsys):
+    """The HTTP library's default limit of 1 MB is below the largest document."""
+    path = tmp_path / "large.yaml"
+    path.write_text(deployment_text() + f"# {'x' * 100}\n" * 20_000)
+    async with _Entry().serve() as entry:
+        assert await _command(configuration.run_apply, entry, FILE=str(path)) == 0
+    assert json.loads(capsys.readouterr().out)["version"] == 1
--- a/tests/version/test_parts.py
+++ b/tests/version/test_parts.py
@@ -37,6 +37,15 @@
     assert len(new[0]) < 2 * PART_TARGET_BYTES
 
 
+def test_large_configuration_has_a_small_head():
+    """A head that names thousands of parts would be sent to every process."""
+    text = sized_text(callers=3_000)
+    parts = split_configuration(compile_text(text))
+    assert sum(map(len, parts.values())) > 500_000
+    assert len(parts) <= 64 + 10
+    assert len(split_text(text)) <= 2 * 64
+
+
 def test_unreadable_parts_and_heads_are_typed_errors():
     """A damaged value must not end a process."""
     with pytest.raises(ConfigurationError):
