--- a/lentilroad/version/const.py
+++ b/lentilroad/version/const.py
@@ -12,11 +12,18 @@
 # With 32 kB parts, 16,000 changes a day cost 7 kB/s per node of the allowed 12 kB/s.
 PART_TARGET_BYTES = 4_096
 # A change stores about this many lines of the operator's text again.
-LINES_PER_TEXT_PART = 96
+LINES_PER_TEXT_PART = 24
+# The head names every part and travels to every process, so it stays small.
+PARTS_PER_SECTION_MAX = 64
 TEXT_MAX_BYTES = 8_000_000
 DIGEST_BYTES = 16
 # The head travels to every process, so its list of changes is bounded.
 CHANGES_IN_HEAD = 16
+SWEPT_KEY = "config/swept"
+# 16,000 changes a day leave about 10 kB each in the service: 7.5 hours of history.
+KEPT_HISTORY_VERSIONS = 5_000
+SWEEP_BATCH = 100
+SWEEP_MAX_S = 30.0
 HISTORY_DEFAULT_COUNT = 20
 
 WATCHERS_PER_REGION = 2
@@ -30,7 +37,10 @@
 RETRY_MAX_S = 2.0
 # Share of digests sent to another region when the own region has many entries.
 FAR_DIGEST_SHARE = 0.1
-COLD_START_PEERS = 3
+# One pass over 430 entries takes 1.8 s, so a single reachable one is found within 2 s.
+COLD_START_PEERS = 24
+COLD_ROUND_S = 0.09
+COLD_PASSES = 3
 PULL_PEERS = 2
 WRITE_ATTEMPTS = 5
 # Six watchers that read a large configuration for the first time stay below 200
@@ -55,3 +65,6 @@
 # Share of a name's workers that load a proven version at the same time.
 ROLLOUT_SHARE = 0.1
 WEIGHT_STORE_BURST_S = 10.0
+RECONCILE_INTERVAL_S = 1.0
+# An upstream reports a started load within seconds; its reports lag.
+COMMAND_REPORT_TIMEOUT_S = 30.0
