Connect the configuration commands, and list programs

Cause: the configuration's commands and routes were not reachable. Change: docopt commands with one set of exit codes, configuration routes at each entry, list of programs, a shutdown of everything does not wait for successors.

--- a/lentilroad/cli/configuration.py
+++ b/lentilroad/cli/configuration.py
@@ -27,6 +27,15 @@
 from pathlib import Path
 from typing import Any
 
+from lentilroad.cli.const import (
+    EXIT_CONFLICT,
+    EXIT_DONE,
+    EXIT_FAULTS,
+    EXIT_NOT_IN_FORCE,
+    EXIT_UNAVAILABLE,
+    EXIT_UNKNOWN,
+    EXIT_USAGE,
+)
 from lentilroad.cli.operator_client import OperatorClient, ReplyError, client_from
 from lentilroad.errors import (
     ConfigurationError,
@@ -37,14 +46,6 @@
 )
 from lentilroad.version.text import check_text
 
-EXIT_OK = 0
-EXIT_FAULTS = 1
-EXIT_CANNOT_RUN = 2
-EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
-EXIT_UNKNOWN = 5
-EXIT_NOT_IN_FORCE = 6
-
 API = "/operator/v1/configuration"
 WAIT_DEFAULT_S = 30.0
 PROGRESS_INTERVAL_S = 0.25
@@ -58,7 +59,7 @@
     try:
         text = _read_file(arguments["FILE"])
     except ConfigurationError as error:
-        return _fail(arguments, error, EXIT_CANNOT_RUN)
+        return _fail(arguments, error, EXIT_USAGE)
     problems, _ = check_text(text, file=arguments["FILE"])
     if arguments.get("--json"):
         found = [
@@ -76,7 +77,7 @@
         for problem in problems:
             _print(str(problem))
         _print(f"{len(problems)} faults" if problems else "valid")
-    return EXIT_FAULTS if problems else EXIT_OK
+    return EXIT_FAULTS if problems else EXIT_DONE
 
 
 def run_diff(arguments: Arguments) -> int:
@@ -116,7 +117,7 @@
         return EXIT_UNAVAILABLE
     if isinstance(error, ReplyError) and issubclass(kind, ConfigurationError):
         return EXIT_FAULTS
-    return EXIT_CANNOT_RUN
+    return EXIT_USAGE
 
 
 def _fail(arguments: Arguments, error: LentilroadError, code: int) -> int:
@@ -136,11 +137,11 @@
     answer = await client.request("POST", API + "/diff", body={"text": text})
     if arguments.get("--json"):
         _print_json(answer)
-        return EXIT_OK
+        return EXIT_DONE
     for change in answer["changes"]:
         _print(change)
     _print(f"{len(answer['changes'])} changes against version {answer['version']}")
-    return EXIT_OK
+    return EXIT_DONE
 
 
 async def _apply(client: OperatorClient, arguments: Arguments) -> int:
@@ -196,7 +197,7 @@
     if as_json:
         _print_json({**applied, "progress": progress})
     if progress is None or progress["in_force"] >= progress["processes"]:
-        return EXIT_OK
+        return EXIT_DONE
     return EXIT_NOT_IN_FORCE
 
 
@@ -234,21 +235,21 @@
             _print_json(answer)
         else:
             sys.stdout.write(answer["text"])
-        return EXIT_OK
+        return EXIT_DONE
     query = {}
     if arguments.get("--count"):
         query["count"] = _whole(arguments["--count"], "--count")
     answer = await client.request("GET", API + "/history", query=query)
     if arguments.get("--json"):
         _print_json(answer)
-        return EXIT_OK
+        return EXIT_DONE
     for head in answer["versions"]:
         when = datetime.fromtimestamp(head["time_s"], UTC).strftime("%FT%TZ")
         note = f", restored version {head['restored']}" if head["restored"] else ""
         _print(f"version {head['version']} by {head['author']} at {when}{note}")
         for change in head["changes"]:
             _print(f"  {change}")
-    return EXIT_OK
+    return EXIT_DONE
 
 
 def _read_file(name: str) -> str:
--- a/lentilroad/cli/errors.py
+++ b/lentilroad/cli/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lentilroad.cli.const import EXIT_NO
+from lentilroad.cli.const import EXIT_USAGE
 
 
 class CommandError(Exception):
@@ -16,6 +16,6 @@
         Exit code of the process.
     """
 
-    def __init__(self, message: str, *, exit_code: int = EXIT_NO) -> None:
+    def __init__(self, message: str, *, exit_code: int = EXIT_USAGE) -> None:
         super().__init__(message)
         self.exit_code = exit_code
--- a/lentilroad/cli/load.py
+++ b/lentilroad/cli/load.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import random
 import sys
 from pathlib import Path
@@ -11,9 +12,10 @@
 
 import aiohttp
 
-from lentilroad.cli.const import EXIT_DONE, EXIT_NO
+from lentilroad.cli.const import CALLER_KEY_VARIABLE, EXIT_DONE, EXIT_FAULTS
 from lentilroad.cli.errors import CommandError
-from lentilroad.cli.operator import print_table, read_key
+from lentilroad.cli.operator import print_table
+from lentilroad.cli.operator_client import URL_VARIABLE
 from lentilroad.clock import SystemClock
 from lentilroad.load.client import LoadClient
 from lentilroad.load.results import ProgramResult, percentile, summarize
@@ -59,8 +61,32 @@
     figure.savefig(path)
 
 
-async def run_load(arguments: dict[str, Any]) -> int:
+def _caller_key(arguments: dict[str, Any]) -> str:
+    path = arguments["--key-file"]
+    if path is not None:
+        try:
+            return Path(path).read_text(encoding="utf-8").strip()
+        except OSError as error:
+            raise CommandError(f"{path}: {error.strerror}; check the path") from None
+    key = os.environ.get(CALLER_KEY_VARIABLE)
+    if not key:
+        raise CommandError(f"no key; set {CALLER_KEY_VARIABLE} or use --key-file")
+    return key
+
+
+def _base_url(arguments: dict[str, Any]) -> str:
+    url = arguments["--url"] or os.environ.get(URL_VARIABLE)
+    if not url:
+        raise CommandError(f"no address; set {URL_VARIABLE} or use --url")
+    return url.rstrip("/").removesuffix("/v1")
+
+
+def run_load(arguments: dict[str, Any]) -> int:
     """Run ``lentilroad load`` and return its exit code."""
+    return asyncio.run(_run_load(arguments))
+
+
+async def _run_load(arguments: dict[str, Any]) -> int:
     deployment = DEPLOYMENTS.get(arguments["--deployment"])
     if deployment is None:
         raise CommandError(f"--deployment must be one of {sorted(DEPLOYMENTS)}")
@@ -75,8 +101,8 @@
     ) as session:
         client = LoadClient(
             session=session,
-            base_urls=[arguments["--url"].rstrip("/")],
-            key=read_key(arguments),
+            base_urls=[_base_url(arguments)],
+            key=_caller_key(arguments),
             clock=SystemClock(),
             random_source=random.Random(seed),
         )
@@ -89,7 +115,7 @@
         await asyncio.gather(*(run_one(index) for index in range(len(programs))))
     report(arguments, results)
     failed = any(result.state != "completed" or result.problems for result in results)
-    return EXIT_NO if failed else EXIT_DONE
+    return EXIT_FAULTS if failed else EXIT_DONE
 
 
 def report(arguments: dict[str, Any], results: list[ProgramResult]) -> None:
--- a/lentilroad/cli/main.py
+++ b/lentilroad/cli/main.py
@@ -8,14 +8,17 @@
   lentilroad check FILE [--json]
   lentilroad diff FILE [--url URL] [--key-file PATH] [--json]
   lentilroad apply FILE [--url URL] [--key-file PATH] [--author NAME]
-                   [--based-on VERSION] [--no-wait] [--json]
-  lentilroad history [--url URL] [--key-file PATH] [--json]
+                   [--based-on VERSION] [--write-id ID] [--no-wait] [--wait SECONDS]
+                   [--json]
+  lentilroad history [--url URL] [--key-file PATH] [--count COUNT] [--text VERSION]
+                     [--json]
   lentilroad rollback VERSION [--url URL] [--key-file PATH] [--author NAME]
-                      [--no-wait] [--json]
+                      [--based-on VERSION] [--write-id ID] [--no-wait]
+                      [--wait SECONDS] [--json]
   lentilroad status [--url URL] [--key-file PATH] [--json]
   lentilroad programs [--url URL] [--key-file PATH] [--json]
   lentilroad drain [--url URL] [--key-file PATH] [--json]
-  lentilroad load --url URL [--key-file PATH] [--deployment NAME]
+  lentilroad load [--url URL] [--key-file PATH] [--deployment NAME]
                   [--programs COUNT] [--concurrency COUNT] [--seed SEED]
                   [--plot FILE] [--json]
   lentilroad version [--json]
@@ -44,11 +47,17 @@
   --listen ADDRESS     Address to listen on, "ip:port".
   --model NAME         Model of a stand-in engine; any when omitted.
   --step-ms MS         Time of one step of a stand-in engine [default: 10].
-  --url URL            An entry's HTTP address [default: http://127.0.0.1:8080].
-  --key-file PATH      File with the operator's or caller's key. The variable
-                       LENTILROAD_KEY is used when omitted.
+  --url URL            An entry's HTTP address; LENTILROAD_URL when omitted.
+  --key-file PATH      File with the key. When omitted, the operator's key is taken
+                       from LENTILROAD_OPERATOR_KEY, and for load the caller's key
+                       from LENTILROAD_KEY.
   --author NAME        Name that the history shows; the user's name when omitted.
   --based-on VERSION   Version that the file was made from; the newest when omitted.
+  --write-id ID        Identity of the write, to repeat a command whose outcome is
+                       unknown without applying it twice.
+  --wait SECONDS       How long to wait until the version is in force.
+  --count COUNT        Number of versions to list.
+  --text VERSION       Print the text of one version.
   --no-wait            Do not wait until the version is in force everywhere.
   --deployment NAME    Programs to drive: ndende or hill_country [default: ndende].
   --programs COUNT     Number of programs [default: 50].
@@ -60,25 +69,30 @@
 
 Exit codes:
   0  done
-  1  the command ran and the answer is no: errors found, programs failed
-  2  wrong usage
-  3  the entry cannot be reached or refused the key
-  4  the configuration was changed by someone else meanwhile
+  1  faults were found, or programs failed
+  2  the command cannot run: wrong usage, file, URL or key
+  3  another operator was faster; nothing was changed
+  4  the entry or the key-value service is unavailable; nothing was changed
+  5  the outcome is unknown; repeat with the printed write id
+  6  accepted, but not in force everywhere within the waiting time
 
 Examples
 --------
   lentilroad dev --port 8080
   lentilroad check site.yaml
-  LENTILROAD_KEY=example-operator-key lentilroad status --url http://127.0.0.1:8080
-  LENTILROAD_KEY=example-ndende-key lentilroad load --url http://127.0.0.1:8080
+  export LENTILROAD_URL=http://127.0.0.1:8080
+  LENTILROAD_OPERATOR_KEY=example-operator-key lentilroad status
+  LENTILROAD_OPERATOR_KEY=example-operator-key lentilroad apply site.yaml
+  LENTILROAD_KEY=example-ndende-key lentilroad load --programs 20
 """
 
 from __future__ import annotations
 
-import asyncio
 import json
+import os
 import sys
 from collections.abc import Callable
+from importlib import import_module
 from typing import Any
 
 import uvloop
@@ -132,23 +146,11 @@
     return const.EXIT_DONE
 
 
-def _standin(arguments: dict[str, Any]) -> int:
-    from lentilroad.cli.standin import run_standin
-
-    return run_standin(arguments)
-
-
-def _load(arguments: dict[str, Any]) -> int:
-    from lentilroad.cli.load import run_load
-
-    return asyncio.run(run_load(arguments))
-
-
-def _operator(name: str) -> Command:
+def _command(module: str, function: str) -> Command:
+    # Imported on use, so that `lentilroad version` does not load everything.
     def run(arguments: dict[str, Any]) -> int:
-        from lentilroad.cli import operator
-
-        return asyncio.run(getattr(operator, f"run_{name}")(arguments))
+        loaded = import_module(f"lentilroad.cli.{module}")
+        return getattr(loaded, function)(arguments)
 
     return run
 
@@ -163,11 +165,16 @@
     "entry": _entry,
     "sidecar": _sidecar,
     "dev": _dev,
-    "standin": _standin,
-    "status": _operator("status"),
-    "programs": _operator("programs"),
-    "drain": _operator("drain"),
-    "load": _load,
+    "standin": _command("standin", "run_standin"),
+    "check": _command("check", "run_check"),
+    "diff": _command("configuration", "run_diff"),
+    "apply": _command("configuration", "run_apply"),
+    "history": _command("configuration", "run_history"),
+    "rollback": _command("configuration", "run_rollback"),
+    "status": _command("operator", "run_status"),
+    "programs": _command("operator", "run_programs"),
+    "drain": _command("operator", "run_drain"),
+    "load": _command("load", "run_load"),
     "version": _version,
 }
 
@@ -184,9 +191,13 @@
     name = next(name for name in COMMANDS if arguments.get(name))
     try:
         return COMMANDS[name](arguments)
+    except BrokenPipeError:
+        # The reader, such as ``head``, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return const.EXIT_DONE
     except CommandError as error:
         sys.stderr.write(f"{error}\n")
         return error.exit_code
     except LentilroadError as error:
         sys.stderr.write(f"{error.message}\n")
-        return const.EXIT_NO
+        return const.EXIT_USAGE
--- a/lentilroad/cli/operator.py
+++ b/lentilroad/cli/operator.py
@@ -2,45 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
-import os
 import sys
 from collections.abc import Iterable
-from pathlib import Path
 from typing import Any
 
-import aiohttp
-
-from lentilroad.cli.const import (
-    EXIT_DONE,
-    EXIT_UNREACHABLE,
-    KEY_VARIABLE,
-    OPERATOR_TIMEOUT_S,
-)
+from lentilroad.cli.const import EXIT_DONE, EXIT_UNAVAILABLE, EXIT_USAGE
 from lentilroad.cli.errors import CommandError
+from lentilroad.cli.operator_client import client_from
+from lentilroad.errors import LentilroadError, UnavailableError
 
 
-def read_key(arguments: dict[str, Any]) -> str:
-    """Return the key from its file or the environment.
-
-    Raises
-    ------
-    CommandError
-        There is no key.
-    """
-    path = arguments["--key-file"]
-    if path is not None:
-        try:
-            return Path(path).read_text(encoding="utf-8").strip()
-        except OSError as error:
-            raise CommandError(f"{path}: {error.strerror}; check the path") from None
-    key = os.environ.get(KEY_VARIABLE)
-    if not key:
-        raise CommandError(f"no key; set {KEY_VARIABLE} or use --key-file")
-    return key
-
-
-async def ask(arguments: dict[str, Any], method: str, path: str) -> dict[str, Any]:
+def ask(arguments: dict[str, Any], method: str, path: str) -> dict[str, Any]:
     """Send a request to the operator routes of an entry.
 
     Raises
@@ -48,23 +22,12 @@
     CommandError
         The entry cannot be reached or refuses.
     """
-    headers = {"Authorization": f"Bearer {read_key(arguments)}"}
-    timeout = aiohttp.ClientTimeout(total=OPERATOR_TIMEOUT_S)
-    url = arguments["--url"].rstrip("/") + path
     try:
-        async with (
-            aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
-            session.request(method, url) as response,
-        ):
-            body = await response.json()
-    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        raise CommandError(
-            f"{url} does not answer ({error}); check --url",
-            exit_code=EXIT_UNREACHABLE,
-        ) from None
-    if response.status >= 400:
-        raise CommandError(body["error"]["message"], exit_code=EXIT_UNREACHABLE)
-    return body
+        return asyncio.run(client_from(arguments).request(method, path))
+    except LentilroadError as error:
+        is_away = isinstance(error, UnavailableError)
+        code = EXIT_UNAVAILABLE if is_away else EXIT_USAGE
+        raise CommandError(error.message, exit_code=code) from None
 
 
 def print_table(header: list[str], rows: Iterable[list[Any]]) -> None:
@@ -76,9 +39,9 @@
         sys.stdout.write("  ".join(cells).rstrip() + "\n")
 
 
-async def run_status(arguments: dict[str, Any]) -> int:
+def run_status(arguments: dict[str, Any]) -> int:
     """Run ``lentilroad status``."""
-    status = await ask(arguments, "GET", "/operator/v1/status")
+    status = ask(arguments, "GET", "/operator/v1/status")
     if arguments["--json"]:
         sys.stdout.write(json.dumps(status) + "\n")
         return EXIT_DONE
@@ -117,9 +80,9 @@
     return EXIT_DONE
 
 
-async def run_programs(arguments: dict[str, Any]) -> int:
+def run_programs(arguments: dict[str, Any]) -> int:
     """Run ``lentilroad programs``."""
-    reply = await ask(arguments, "GET", "/operator/v1/programs")
+    reply = ask(arguments, "GET", "/operator/v1/programs")
     if arguments["--json"]:
         sys.stdout.write(json.dumps(reply) + "\n")
         return EXIT_DONE
@@ -133,9 +96,9 @@
     return EXIT_DONE
 
 
-async def run_drain(arguments: dict[str, Any]) -> int:
+def run_drain(arguments: dict[str, Any]) -> int:
     """Run ``lentilroad drain``."""
-    reply = await ask(arguments, "POST", "/operator/v1/drain")
+    reply = ask(arguments, "POST", "/operator/v1/drain")
     if arguments["--json"]:
         sys.stdout.write(json.dumps(reply) + "\n")
     else:
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -227,6 +227,16 @@
             if peer.region != self.settings.region and peer.state == "alive"
         ]
 
+    def reported_versions(self) -> dict[str, int]:
+        """Return the configuration version that each live process reported."""
+        versions = {
+            peer.address: peer.config_version
+            for peer in self.members.peers()
+            if peer.state in ("alive", "suspect", "draining")
+        }
+        versions[self.settings.address] = self.distribution.version
+        return versions | self.directory.config_versions()
+
     def _regions(self) -> list[str]:
         current = self.distribution.current
         if current is None:
@@ -381,6 +391,8 @@
         give_up_s = self.clock.monotonic_s() + HAND_OVER_TIMEOUT_S
         table = self.shard_table
         while table.named_in() or table.moving_away():
+            if not self._others_take_shards():
+                return
             if self.clock.monotonic_s() >= give_up_s:
                 eliot.log_message(
                     message_type="entry:shards_left",
@@ -389,6 +401,11 @@
                 return
             await self.clock.sleep(HAND_OVER_POLL_S)
 
+    def _others_take_shards(self) -> bool:
+        # In a stop of the whole deployment nobody is left to hand over to.
+        members = self.members
+        return any(members.alive_entries(region) for region in members.regions())
+
     async def close(self) -> None:
         """Stop, after the open requests of callers have ended."""
         if self._http is not None:
--- a/lentilroad/process/operator_http.py
+++ b/lentilroad/process/operator_http.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import hmac
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from lentilroad.errors import UnauthenticatedError
 from lentilroad.request.responses import json_response
+from lentilroad.version.http import add_routes, operator_key_checker
 
 if TYPE_CHECKING:
     from lentilroad.process.entry import Entry
@@ -27,10 +26,9 @@
         The key is missing or unknown.
     """
     header = request.headers.get("Authorization", "")
-    found = hashlib.sha256(header.removeprefix(BEARER).encode()).hexdigest()
-    for wanted in key_sha256:
-        if header.startswith(BEARER) and hmac.compare_digest(found, wanted):
-            return
+    check = operator_key_checker(key_sha256)
+    if header.startswith(BEARER) and check(header.removeprefix(BEARER)):
+        return
     raise UnauthenticatedError("send 'Authorization: Bearer <operator key>'")
 
 
@@ -50,6 +48,10 @@
         check_operator_key(request, key_sha256)
         return json_response(entry_status(entry))
 
+    async def programs(request: web.Request) -> web.Response:
+        check_operator_key(request, key_sha256)
+        return json_response({"programs": entry.owner.list_programs()})
+
     async def drain(request: web.Request) -> web.Response:
         check_operator_key(request, key_sha256)
         entry.drain_task = asyncio.ensure_future(entry.drain())
@@ -60,9 +62,17 @@
             web.get("/healthz", healthz),
             web.get("/readyz", readyz),
             web.get("/operator/v1/status", status),
+            web.get("/operator/v1/programs", programs),
             web.post("/operator/v1/drain", drain),
         ]
     )
+    add_routes(
+        application,
+        entry.store,
+        entry.distribution,
+        operator_key_checker(key_sha256),
+        reported_versions=entry.reported_versions,
+    )
 
 
 def entry_status(entry: Entry) -> dict[str, object]:
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -39,6 +39,7 @@
     Failed,
     OpenProgramReply,
     OpenProgramRequest,
+    ProgramSummary,
     ReadProgramReply,
     ReadProgramRequest,
     RunTurnRequest,
@@ -217,6 +218,20 @@
         """Return the shards whose programs are here, also while a move holds them."""
         return self._owned.shards()
 
+    def list_programs(self) -> list[ProgramSummary]:
+        """Return the programs that this entry owns, for operators."""
+        return [
+            ProgramSummary(
+                program_id=program.state.program_id,
+                caller_id=program.state.caller_id,
+                state=program.state.status,
+                turn_no=program.state.turn_no,
+                shard=shard,
+            )
+            for shard in self._owned.shards()
+            for program in self._owned.programs(shard).values()
+        ]
+
     async def run(self) -> None:
         """Do the regular work until cancelled: sweep, confirm, copy to standbys."""
         await self._upkeep.run()
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -99,6 +99,16 @@
     history: list[ChatMessage] = []
 
 
+class ProgramSummary(Message):
+    """One program in an operator's list."""
+
+    program_id: str
+    caller_id: str
+    state: str
+    turn_no: int
+    shard: str
+
+
 class RunTurnRequest(Message):
     """Run one turn or one service call of a program."""
 
