Use the common exit code names in the command line's tests

Cause: the tests named the constants of one command module. Change: names only; the expected values are the same. Conclusion: one list of exit codes.

--- a/tests/cli/test_configuration.py
+++ b/tests/cli/test_configuration.py
@@ -194,7 +194,7 @@
         monkeypatch.setenv("LENTILROAD_OPERATOR_KEY", "wrong")
         path = configuration_file(1)
         code = await _command(configuration.run_apply, entry, FILE=path)
-        assert code == configuration.EXIT_CANNOT_RUN
+        assert code == configuration.EXIT_USAGE
         assert json.loads(capsys.readouterr().out)["error"]["code"] == "unauthenticated"
         assert entry.key_value.items == {}
 
@@ -206,7 +206,7 @@
     assert configuration.run_check({"FILE": str(path)}) == configuration.EXIT_FAULTS
     assert "bad.yaml:20: colour: found an unknown key" in capsys.readouterr().out
     missing = {"FILE": str(tmp_path / "none.yaml"), "--json": True}
-    assert configuration.run_check(missing) == configuration.EXIT_CANNOT_RUN
+    assert configuration.run_check(missing) == configuration.EXIT_USAGE
 
 
 async def test_lost_answer_is_an_unknown_outcome_with_a_write_id(
