--- a/lentilroad/connection/server.py
+++ b/lentilroad/connection/server.py
@@ -30,6 +30,20 @@
 _BACKLOG = 512
 
 
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; port 0 takes a free one.
+
+    asyncio turns Nagle's algorithm off only for sockets that name their protocol;
+    with it on, a unary call took 46 ms instead of 2 ms.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.setblocking(False)
+    return listener
+
+
 class _TrackingServer(Server):
     """Server that can close its connections; grpclib leaves them open."""
 
@@ -81,9 +95,7 @@
         self, *, host: str, port: int, ssl_context: ssl.SSLContext | None
     ) -> None:
         """Listen on `host` and `port`; port 0 takes a free one."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=_BACKLOG)
-        listener.setblocking(False)
+        listener = open_listener(host, port)
         self.port = listener.getsockname()[1]
         self.address = f"[{host}]:{self.port}" if ":" in host else f"{host}:{self.port}"
         await self._server.start(sock=listener, ssl=ssl_context, backlog=_BACKLOG)
--- a/tests/connection/test_peers.py
+++ b/tests/connection/test_peers.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import aclosing, asynccontextmanager, suppress
 
 import pytest
 
 from lentilroad.clock import SystemClock
 from lentilroad.connection.peers import PeerConnections
-from lentilroad.connection.server import start_server
+from lentilroad.connection.server import open_listener, start_server
 from lentilroad.errors import BudgetExhaustedError, UnavailableError
 from lentilroad.wire.messages import (
     AttachRequest,
@@ -225,3 +226,9 @@
         reply = await peers.call(again.address, GRANT, REQUEST, 5.0)
         await again.close()
     assert reply.granted
+
+
+def test_listener_names_its_protocol():
+    """Asyncio must turn Nagle's algorithm off for accepted connections."""
+    with open_listener("127.0.0.1", 0) as listener:
+        assert listener.proto == socket.IPPROTO_TCP
