--- a/lentilroad/membership/const.py
+++ b/lentilroad/membership/const.py
@@ -68,3 +68,6 @@
 WRITE_BACK_MAX_S = 1.0
 REBALANCE_INTERVAL_S = 1.0
 REBALANCE_AFTER_S = 5.0
+
+# New work must stop within 3 s after the platform shows an instance as leaving.
+INSTANCE_LIST_INTERVAL_S = 2.0
