--- a/lentilroad/faults/checkers.py
+++ b/lentilroad/faults/checkers.py
@@ -36,34 +36,47 @@
 
 
 def check_order(events: list[Event]) -> list[str]:
-    """Check that the calls of one program start in order."""
+    """Check that calls start in order and see all turns before them."""
     found = []
     highest: dict[str, int] = defaultdict(int)
+    lengths: dict[str, set[int]] = defaultdict(set)
     for event in _of(events, "run", "effect"):
         program = event["program"]
         number = _call_number(event["call_id"])
         if number < highest[program]:
             found.append(f"call {event['call_id']} ran after call {highest[program]}")
         highest[program] = max(highest[program], number)
+        if event["event"] == "run":
+            lengths[event["contents"][-1]].add(len(event["contents"]))
+    for event in _committed_turns(events):
+        expected = 2 * event["turn_no"] - 1
+        if expected not in lengths[event["content"]]:
+            found.append(f"turn {event['content']} ran without the turns before it")
     return found
 
 
+def _committed_turns(events: list[Event]) -> list[Event]:
+    return [
+        event
+        for event in _of(events, "answer")
+        if event["outcome"] == "committed" and event["kind"] == "chat"
+    ]
+
+
 def check_no_loss(events: list[Event]) -> list[str]:
-    """Check that every committed answer is in the history, in order."""
+    """Check that every committed turn is at its place in the history."""
     found = []
-    committed: dict[str, list[str]] = defaultdict(list)
-    for event in _of(events, "answer"):
-        is_new = event["content"] not in committed[event["program"]]
-        if event["outcome"] == "committed" and event["kind"] == "chat" and is_new:
-            committed[event["program"]].append(event["content"])
-    for event in _of(events, "read"):
-        expected = committed[event["program"]]
+    reads = {event["program"]: event for event in _of(events, "read")}
+    for event in reads.values():
         if event["error"]:
             found.append(f"program {event['program']} reads as {event['error']}")
+    for event in _committed_turns(events):
+        read = reads.get(event["program"])
+        if read is None or read["error"]:
             continue
-        kept = [content for content in event["contents"] if content in expected]
-        if kept != expected:
-            found.append(f"program {event['program']} lost {expected}, has {kept}")
+        place = 2 * (event["turn_no"] - 1)
+        if read["contents"][place : place + 1] != [event["content"]]:
+            found.append(f"program {event['program']} lost turn {event['content']}")
     return found
 
 
--- a/lentilroad/faults/client.py
+++ b/lentilroad/faults/client.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from lentilroad.errors import LentilroadError, UnavailableError
 from lentilroad.faults.network import Process, ProcessClock
 from lentilroad.faults.world import REGION, SHARD_COUNT, World
@@ -104,15 +106,19 @@
         )
 
     async def _run_turns(self, name: str, turns: int) -> None:
+        running = []
         for number in range(turns):
             request = self._request(name, number)
-            if self._random.random() < 0.2:
-                await asyncio.gather(
-                    self._turn(request), self._turn(request, delay_s=0.05)
-                )
-            else:
-                await self._turn(request)
-            await asyncio.sleep(self._random.choice((0.0, 0.1, 1.0, 3.0)))
+            running.append(asyncio.create_task(self._turn(request)))
+            chance = self._random.random()
+            if chance < 0.2:
+                # Through another entry, as a caller does after a timeout.
+                repeat = self._turn(msgspec.structs.replace(request), delay_s=0.05)
+                running.append(asyncio.create_task(repeat))
+            if chance < 0.7:
+                await asyncio.wait(running)
+                await asyncio.sleep(self._random.choice((0.0, 0.1, 1.0, 3.0)))
+        await asyncio.gather(*running)
 
     def _request(self, name: str, number: int) -> m.RunTurnRequest:
         content = f"{name[-6:]}:{number}"
--- a/lentilroad/faults/schedule.py
+++ b/lentilroad/faults/schedule.py
@@ -10,7 +10,7 @@
 from lentilroad.faults.client import Client
 from lentilroad.faults.history import Event
 from lentilroad.faults.upstreams import RecordingEngine, RecordingService
-from lentilroad.faults.world import ZONES, EntryNode, World
+from lentilroad.faults.world import REGION, ZONES, EntryNode, World
 
 FAULTS = (
     "entry_kill",
@@ -134,7 +134,8 @@
 
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_s)
-    world.history.note("fault", kind=fault.kind, target=fault.target)
+    roles = _roles(world, fault) if fault.kind in _ENTRY_FAULTS else []
+    world.history.note("fault", kind=fault.kind, target=fault.target, roles=roles)
     await _INJECTORS[fault.kind](world, fault)
 
 
@@ -142,6 +143,18 @@
     return world.entries[fault.target % len(world.entries)]
 
 
+def _roles(world: World, fault: Fault) -> list[str]:
+    """Return the roles that the struck entry has in the shards that it knows."""
+    entry = _entry(world, fault)
+    roles = set()
+    for shard in entry.table.shards(REGION):
+        record = entry.table.record(shard)
+        for role in ("owner", "standby", "arbiter"):
+            if getattr(record, role) == entry.address:
+                roles.add(role)
+    return sorted(roles)
+
+
 async def _entry_kill(world: World, fault: Fault) -> None:
     entry = _entry(world, fault)
     entry.kill()
--- a/tests/faults/test_checkers.py
+++ b/tests/faults/test_checkers.py
@@ -82,6 +82,7 @@
 
 BAD = [
     (checkers.check_order, [run("p/2.1"), run("p/1.1")]),
+    (checkers.check_order, [run(), answer(turn_no=2)]),
     (checkers.check_no_loss, [answer(), read(contents=[])]),
     (checkers.check_no_loss, [answer(), read(error="not_found")]),
     (
--- a/tests/faults/test_schedules.py
+++ b/tests/faults/test_schedules.py
@@ -26,6 +26,18 @@
         assert kind in {event.get("kind") for event in events}
 
 
+@pytest.mark.parametrize("kind", ["entry_kill", "entry_pause"])
+def test_failure_of_each_role_violates_nothing(kind):
+    """Owner, standby and arbiter must all be replaceable."""
+    roles = set()
+    for seed in range(10, 16):
+        events, violations = run_seed(seed, (kind,))
+        assert violations == []
+        for event in events:
+            roles |= set(event.get("roles", ()))
+    assert roles == {"owner", "standby", "arbiter"}
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_planned_stops_interrupt_no_request(seed):
     """Draining entries and sidecars must cost no request."""
