--- a/lentilroad/faults/schedule.py
+++ b/lentilroad/faults/schedule.py
@@ -108,7 +108,7 @@
     _, late = await asyncio.wait(running, timeout=LIMIT_S)
     if late:
         history.note("stuck", clients=len(late))
-    await asyncio.gather(*injections, return_exceptions=True)
+    await asyncio.wait(injections, timeout=LIMIT_S)
     await asyncio.sleep(QUIET_S)
     for entry in world.entries:
         entry.kill()
@@ -157,9 +157,11 @@
 
 async def _entry_kill(world: World, fault: Fault) -> None:
     entry = _entry(world, fault)
+    process = entry.process
     entry.kill()
     await asyncio.sleep(fault.duration_s)
-    entry.start()
+    if entry.process is process:
+        entry.start()
 
 
 async def _entry_pause(world: World, fault: Fault) -> None:
@@ -172,8 +174,10 @@
 
 async def _entry_drain(world: World, fault: Fault) -> None:
     entry = _entry(world, fault)
+    process = entry.process
     await entry.drain()
-    entry.start()
+    if entry.process is process:
+        entry.start()
 
 
 async def _sidecar_kill(world: World, fault: Fault) -> None:
@@ -181,9 +185,11 @@
     sidecar = sidecars[fault.target % len(sidecars)]
     if sidecar.process.is_dead:
         return
+    process = sidecar.process
     sidecar.kill()
     await asyncio.sleep(fault.duration_s)
-    sidecar.start()
+    if sidecar.process is process:
+        sidecar.start()
 
 
 async def _sidecar_drain(world: World, fault: Fault) -> None:
@@ -236,11 +242,13 @@
         for sidecar in world.sidecars.values()
         if sidecar.record.availability_zone == zone and not sidecar.process.is_dead
     ]
-    for node in (*entries, *sidecars):
+    killed = [(node, node.process) for node in (*entries, *sidecars)]
+    for node, _ in killed:
         node.kill()
     await asyncio.sleep(fault.duration_s)
-    for node in (*entries, *sidecars):
-        node.start()
+    for node, process in killed:
+        if node.process is process:
+            node.start()
 
 
 async def _silent(world: World, fault: Fault) -> None:
--- a/lentilroad/faults/world.py
+++ b/lentilroad/faults/world.py
@@ -38,6 +38,7 @@
 DIRECTORY_DEATH_LAG_S = 1.5
 DIRECTORY_LAG_S = 0.5
 HAND_OVER_POLLS = 300
+DRAIN_LIMIT_S = 20.0
 
 
 def policy_of(request: RunTurnRequest) -> CallPolicy:
@@ -140,17 +141,18 @@
 
     async def drain(self) -> None:
         """Hand all shards over, then stop."""
+        process = self.process
         self.is_draining = True
         self.members.drain()
         for _ in range(HAND_OVER_POLLS):
-            if not self.owner.shards_held():
+            if process.is_dead or not self.owner.shards_held():
                 break
             await asyncio.sleep(0.1)
-            await self.process.step()
         else:
             self.world.history.note("not_handed_over", entry=self.address)
         await asyncio.sleep(0.5)
-        self.kill()
+        if self.process is process:
+            self.kill()
 
 
 class SidecarNode:
@@ -231,9 +233,12 @@
         self.world.history.note("leaving", upstream=self.address)
         self.runner.start_draining()
         self.world.later(DIRECTORY_LAG_S, self.world.directory.pop, self.address, None)
-        await self.runner.drained()
+        process = self.process
+        drained = asyncio.create_task(self.runner.drained())
+        # A process that is killed in its drain never finishes it.
+        await asyncio.wait({drained}, timeout=DRAIN_LIMIT_S)
         self.world.history.note("left", upstream=self.address)
-        self.process.kill()
+        process.kill()
 
 
 class World:
