--- a/lentilroad/membership/members.py
+++ b/lentilroad/membership/members.py
@@ -54,6 +54,10 @@
     )
 
 
+def _takes_work(record: PeerRecord) -> bool:
+    return record.state in ("alive", "suspect") and not record.draining
+
+
 class Members:
     """Entries by region, kept by probes among them.
 
@@ -150,9 +154,16 @@
             return 0.0
         return self._clock.monotonic_s() - peer.changed_s
 
+    def process_ended(self, address: str, started_ms: int) -> bool:
+        """Return whether a later process runs at the address than the given one."""
+        peer = self.peer(address)
+        return peer is not None and peer.started_ms > started_ms > 0
+
     def drain(self) -> None:
         """Announce that this entry stops: it gets no new shards or sidecars."""
-        self._announce(state="draining", incarnation=self._me.incarnation + 1)
+        self._announce(
+            state="draining", draining=True, incarnation=self._me.incarnation + 1
+        )
 
     def set_config_version(self, version: int) -> None:
         """Announce the configuration version that is in force here."""
--- a/lentilroad/membership/moves.py
+++ b/lentilroad/membership/moves.py
@@ -55,7 +55,7 @@
             await self._clock.sleep(REBALANCE_INTERVAL_S)
             self._announce()
             self._note_entries()
-            while self._may_move() and await self._move_some():
+            while self._may_move() and await self._move_next():
                 self._note_entries()
 
     def unconfirmed(self) -> list[str]:
@@ -90,43 +90,20 @@
         stable_s = self._clock.monotonic_s() - self._stable_since_s
         return stable_s >= REBALANCE_AFTER_S
 
-    async def _move_some(self) -> bool:
-        """Move shards that are out of place; return whether any moved.
-
-        A pass ends at the first move that fails, so that an entry that does not
-        answer costs one timeout and not one for each shard. Moves that only the
-        key-value service can decide are proposed together and written at once.
-        """
-        moved = False
-        for state in list(self._records.owned()):
-            if not self._may_move():
-                return moved
-            if state.frozen:
-                moved |= await self._resume(state)
-                continue
+    async def _move_next(self) -> bool:
+        """Move the first shard that is out of place; return whether one moved."""
+        for state in self._records.owned():
             wanted = self._wanted(state)
-            if wanted is None:
-                continue
-            if await self._move(state, wanted):
-                moved = True
-            elif not self._store.has_proposal(state.name):
-                return moved
-        return moved
-
-    async def _resume(self, state: ShardState) -> bool:
-        """Go on with a move whose decision was not answered."""
-        promise = state.promise
-        if promise is None:
-            state.frozen = self._store.has_proposal(state.name)
-            return False
-        base = state.record
-        moved = await self._decide(state, base, promise.record)
-        if not moved and state.record is base and state.promise is None:
-            state.frozen = False
-        return moved
+            if wanted is not None:
+                return await self._move(state, wanted)
+        return False
 
     def _wanted(self, state: ShardState) -> ShardRecord | None:
-        if state.promise is not None or self._store.has_proposal(state.name):
+        if (
+            state.frozen
+            or state.promise is not None
+            or self._store.has_proposal(state.name)
+        ):
             return None
         record = state.record
         wanted = desired_record(
@@ -137,15 +114,32 @@
         )
         if (wanted.owner, wanted.standby) == (record.owner, record.standby):
             return None
-        # A copy is given up only by an entry that leaves; it cannot keep one.
-        is_leaving = self._records.address not in self._entries
-        if not wanted.standby and record.standby and not is_leaving:
+        if not record.standby or not (wanted.standby or self._pair_drains(record)):
             return None
-        # A sole owner that stays one is extended, not moved.
-        if not record.standby and wanted.owner == record.owner:
+        if not record.arbiter:
+            self._change_by_map(state, wanted)
             return None
         return wanted
 
+    def _pair_drains(self, record: ShardRecord) -> bool:
+        """Return whether the shard must do with fewer entries."""
+        pair = (record.owner, record.standby)
+        return any(self._members.state_of(address) == "draining" for address in pair)
+
+    def _change_by_map(self, state: ShardState, wanted: ShardRecord) -> None:
+        """Change the pair of a shard without an arbiter, by CAS.
+
+        Only its own entries become the owner. The standby has every commit, and
+        acknowledges none of the old epoch once it knows the new one, so commits go
+        on until the answer arrives. Other entries are named only after an arbiter
+        is there.
+        """
+        base = state.record
+        swapped = wanted.owner == base.standby and wanted.standby in ("", base.owner)
+        alone = wanted.owner == base.owner and not wanted.standby
+        if swapped or alone:
+            self._store.propose(state.name, base, wanted)
+
     async def _move(self, state: ShardState, wanted: ShardRecord) -> bool:
         base = state.record
         if not await self._copy_shard(state.name, wanted, False):
@@ -160,9 +154,7 @@
             moved = await self._decide(state, base, wanted)
         finally:
             if state.record is base:
-                state.frozen = state.promise is not None or self._store.has_proposal(
-                    state.name
-                )
+                state.frozen = state.promise is not None
         if moved:
             eliot.log_message(
                 message_type="membership:shard_moved",
@@ -175,9 +167,6 @@
     async def _decide(
         self, state: ShardState, base: ShardRecord, wanted: ShardRecord
     ) -> bool:
-        if not base.arbiter:
-            self._store.propose(state.name, base, wanted)
-            return False
         decided = await self._succession.decide(state, base, wanted, base.standby)
         if decided:
             self._store.wake()
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -321,6 +321,8 @@
     prefill_tokens_per_s: float = 0.0
     time_per_token_s: float = 0.0
     queue_wait_s: float = 0.0
+    # Time since an engine with running calls last produced a token, else 0.
+    silent_s: float = 0.0
 
 
 class SidecarRecord(Message):
@@ -367,6 +369,8 @@
     incarnation: int
     state: Literal["alive", "suspect", "draining", "dead"] = "alive"
     config_version: int = 0
+    # The entry stops; kept also while its state is suspect.
+    draining: bool = False
     # Start of the process in Unix milliseconds; a restart has a larger one, while
     # the incarnation also rises when the entry refutes a suspicion.
     started_ms: int = 0
@@ -413,9 +417,6 @@
     # The owner had no standby before and may not know this record yet; the standby
     # takes over only after the owner's first message under it.
     from_sole_owner: bool = False
-    # Epoch that was in force before; 0 means the one below. A recovery skips epochs
-    # that cut-off entries may have granted.
-    base_epoch: int = 0
 
 
 class ShardMap(Message):
