--- a/lentilroad/faults/main.py
+++ b/lentilroad/faults/main.py
@@ -1,13 +1,14 @@
 """Run random fault schedules and judge their histories.
 
 Usage:
-  faults [--seed=N] [--count=M] [--focus=KINDS] [--events]
+  faults [--seed=N] [--count=M] [--focus=KINDS] [--jobs=J] [--events]
   faults (-h | --help)
 
 Options:
   --seed=N       Seed of the first schedule; the others follow it [default: 1].
   --count=M      Number of schedules [default: 100].
   --focus=KINDS  Comma-separated kinds of faults to choose from.
+  --jobs=J       Processes that run schedules [default: 2].
   --events       Print the history of each schedule.
 """
 
@@ -18,7 +19,9 @@
 import json
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from random import Random
 
 from docopt import docopt
@@ -58,15 +61,12 @@
     if unknown:
         print(f"unknown kinds {sorted(unknown)}; choose from {', '.join(FAULTS)}")
         return 2
-    # Most garbage is freed by reference counts; full collections scan all modules.
-    gc.freeze()
-    gc.set_threshold(50_000)
     first = int(options["--seed"])
     count = int(options["--count"])
     started_s = time.monotonic()
     failed = 0
-    for seed in range(first, first + count):
-        events, violations = run_seed(seed, kinds)
+    seeds = range(first, first + count)
+    for seed, (events, violations) in _run_seeds(seeds, kinds, int(options["--jobs"])):
         failed += bool(violations)
         _print_schedule(seed, events, violations, focus, options["--events"])
     elapsed_s = time.monotonic() - started_s
@@ -79,6 +79,25 @@
     return 1 if failed else 0
 
 
+def _run_seeds(
+    seeds: Sequence[int], kinds: Sequence[str], jobs: int
+) -> Iterator[tuple[int, tuple[list[Event], list[str]]]]:
+    """Yield the result of each seed in order."""
+    run = partial(run_seed, kinds=kinds)
+    if jobs == 1 or len(seeds) == 1:
+        _collect_rarely()
+        yield from zip(seeds, map(run, seeds), strict=True)
+        return
+    with ProcessPoolExecutor(max_workers=jobs, initializer=_collect_rarely) as pool:
+        yield from zip(seeds, pool.map(run, seeds, chunksize=4), strict=True)
+
+
+def _collect_rarely() -> None:
+    # Most garbage is freed by reference counts; full collections scan all modules.
+    gc.freeze()
+    gc.set_threshold(50_000)
+
+
 def _print_schedule(
     seed: int,
     events: list[Event],
