--- a/lentilroad/faults/schedule.py
+++ b/lentilroad/faults/schedule.py
@@ -10,7 +10,7 @@
 from lentilroad.faults.client import Client
 from lentilroad.faults.history import Event
 from lentilroad.faults.upstreams import RecordingEngine, RecordingService
-from lentilroad.faults.world import ZONES, EntryNode, World
+from lentilroad.faults.world import REGION, ZONES, EntryNode, World
 
 FAULTS = (
     "entry_kill",
@@ -92,7 +92,9 @@
     faults : sequence of Fault
         Failures to inject.
     """
-    world = World(random=random)
+    # A zone that is lost leaves two entries in each other zone.
+    loses_zone = any(fault.kind == "zone_loss" for fault in faults)
+    world = World(random=random, entries=6 if loses_zone else 4)
     await asyncio.sleep(WARM_UP_S)
     history = world.history
     history.note("schedule", kinds=[fault.kind for fault in faults])
@@ -108,7 +110,7 @@
     _, late = await asyncio.wait(running, timeout=LIMIT_S)
     if late:
         history.note("stuck", clients=len(late))
-    await asyncio.gather(*injections, return_exceptions=True)
+    await asyncio.wait(injections, timeout=LIMIT_S)
     await asyncio.sleep(QUIET_S)
     for entry in world.entries:
         entry.kill()
@@ -134,7 +136,8 @@
 
 async def _inject(world: World, fault: Fault) -> None:
     await asyncio.sleep(fault.at_s)
-    world.history.note("fault", kind=fault.kind, target=fault.target)
+    roles = _roles(world, fault) if fault.kind in _ENTRY_FAULTS else []
+    world.history.note("fault", kind=fault.kind, target=fault.target, roles=roles)
     await _INJECTORS[fault.kind](world, fault)
 
 
@@ -142,11 +145,25 @@
     return world.entries[fault.target % len(world.entries)]
 
 
+def _roles(world: World, fault: Fault) -> list[str]:
+    """Return the roles that the struck entry has in the shards that it knows."""
+    entry = _entry(world, fault)
+    roles = set()
+    for shard in entry.table.shards(REGION):
+        record = entry.table.record(shard)
+        for role in ("owner", "standby", "arbiter"):
+            if getattr(record, role) == entry.address:
+                roles.add(role)
+    return sorted(roles)
+
+
 async def _entry_kill(world: World, fault: Fault) -> None:
     entry = _entry(world, fault)
+    process = entry.process
     entry.kill()
     await asyncio.sleep(fault.duration_s)
-    entry.start()
+    if entry.process is process:
+        entry.start()
 
 
 async def _entry_pause(world: World, fault: Fault) -> None:
@@ -159,8 +176,10 @@
 
 async def _entry_drain(world: World, fault: Fault) -> None:
     entry = _entry(world, fault)
+    process = entry.process
     await entry.drain()
-    entry.start()
+    if entry.process is process:
+        entry.start()
 
 
 async def _sidecar_kill(world: World, fault: Fault) -> None:
@@ -168,9 +187,11 @@
     sidecar = sidecars[fault.target % len(sidecars)]
     if sidecar.process.is_dead:
         return
+    process = sidecar.process
     sidecar.kill()
     await asyncio.sleep(fault.duration_s)
-    sidecar.start()
+    if sidecar.process is process:
+        sidecar.start()
 
 
 async def _sidecar_drain(world: World, fault: Fault) -> None:
@@ -223,11 +244,13 @@
         for sidecar in world.sidecars.values()
         if sidecar.record.availability_zone == zone and not sidecar.process.is_dead
     ]
-    for node in (*entries, *sidecars):
+    killed = [(node, node.process) for node in (*entries, *sidecars)]
+    for node, _ in killed:
         node.kill()
     await asyncio.sleep(fault.duration_s)
-    for node in (*entries, *sidecars):
-        node.start()
+    for node, process in killed:
+        if node.process is process:
+            node.start()
 
 
 async def _silent(world: World, fault: Fault) -> None:
