Count waits for memory and prefill in the queue's expected wait

Cause: the expected wait knew only slots, so that a call waiting for memory was held until its deadline instead of being refused at once. Change: while calls wait although slots are free, the running calls are the limit.

--- a/lentilroad/request/queue.py
+++ b/lentilroad/request/queue.py
@@ -98,8 +98,12 @@
     def expected_wait_s(self, *, position: int | None = None) -> float:
         """Return the expected wait of a call behind `position` waiting ones."""
         ahead = len(self._entries) if position is None else position
+        in_flight = self._concurrency.in_flight
         limit = max(1, self._concurrency.limit)
-        behind = ahead + 1 + self._concurrency.in_flight - limit
+        if self._entries and 0 < in_flight < limit:
+            # Memory or prefill keeps calls waiting although slots are free.
+            limit = in_flight
+        behind = ahead + 1 + in_flight - limit
         return max(0, behind) * self._service_s / limit
 
     def set_upstream(
--- a/tests/request/test_queue.py
+++ b/tests/request/test_queue.py
@@ -219,3 +219,16 @@
     queue.push("old", priority=priority())
     with pytest.raises(OverloadedError):
         queue.push("new", priority=priority(under_way=False))
+
+
+def test_wait_for_memory_counts_against_the_deadline():
+    """A call that waits for memory and not for a slot must be refused in time."""
+    _, queue = make_queue(limit=9, running_memory_share=1.0)
+    queue.set_upstream(memory_tokens=1000)
+    size = CallSize(memory_tokens=900)
+    queue.push("running", priority=priority(), size=size)
+    assert queue.pop_ready() == "running"
+    for number in range(5):
+        queue.push(f"call{number}", priority=priority(), size=size)
+    with pytest.raises(OverloadedError):
+        queue.push("late", priority=priority(), size=size, deadline_s=4.0)
