--- a/lentilroad/version/sweep.py
+++ b/lentilroad/version/sweep.py
@@ -150,7 +150,7 @@
         used = {*head.parts, *head.text_parts}
         for version in range(before.version + 1, head.version):
             used.update(await self._digests_of(version))
-        for digest in used & removed.keys():
+        for digest in sorted(used & removed.keys()):
             try:
                 await self._key_value.compare_and_swap(
                     key=PART_PREFIX + digest,
