--- a/lentilroad/bench/sidecar.py
+++ b/lentilroad/bench/sidecar.py
@@ -47,7 +47,8 @@
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-def _cpu_s(process_id: int) -> float:
+def cpu_s(process_id: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
     with open(f"/proc/{process_id}/stat", encoding="ascii") as file:
         fields = file.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
@@ -221,11 +222,11 @@
         ):
             used_us = []
             for length in lengths:
-                before_s = _cpu_s(process.pid or 0)
+                before_s = cpu_s(process.pid or 0)
                 number = run * max(lengths) + length
                 received = uvloop.run(read(address, streams, length, number))
                 assert received == streams * length
-                used_us.append(1e6 * (_cpu_s(process.pid or 0) - before_s) / streams)
+                used_us.append(1e6 * (cpu_s(process.pid or 0) - before_s) / streams)
             token_us = (used_us[1] - used_us[0]) / (lengths[1] - lengths[0])
             per_token.append(token_us)
             per_call.append(used_us[0] - token_us * lengths[0])
