--- a/lentilroad/faults/schedule.py
+++ b/lentilroad/faults/schedule.py
@@ -31,7 +31,6 @@
 ENTRY_FAULT_SPACING_S = 4.0
 MAX_ENTRY_FAULTS = 2
 _ENTRY_FAULTS = ("entry_kill", "entry_pause", "entry_drain", "silent", "zone_loss")
-WARM_UP_S = 1.6
 CLIENTS = 3
 QUIET_S = 2.5
 # Sidecars drop unconfirmed programs after 60 s.
@@ -48,7 +47,7 @@
     kind : str
         One of `FAULTS`.
     at_s : float
-        Start after the warm-up, in seconds.
+        Start after all shards are assigned, in seconds.
     duration_s : float
         Time until the process is started again or the fault is over.
     target : int
@@ -95,7 +94,7 @@
     # A zone that is lost leaves two entries in each other zone.
     loses_zone = any(fault.kind == "zone_loss" for fault in faults)
     world = World(random=random, entries=6 if loses_zone else 4)
-    await asyncio.sleep(WARM_UP_S)
+    await world.ready()
     history = world.history
     history.note("schedule", kinds=[fault.kind for fault in faults])
     injections = [world.start(_inject(world, fault)) for fault in faults]
@@ -212,7 +211,6 @@
     await asyncio.sleep(fault.duration_s)
     if sidecar.process is process:
         sidecar.start()
-        world.history.note("returned", upstream=sidecar.address)
 
 
 async def _engine_fail(world: World, fault: Fault) -> None:
--- a/lentilroad/faults/world.py
+++ b/lentilroad/faults/world.py
@@ -39,6 +39,8 @@
 DIRECTORY_LAG_S = 0.5
 HAND_OVER_POLLS = 300
 DRAIN_LIMIT_S = 20.0
+LINGER_S = 2.0
+READY_POLLS = 300
 
 
 def policy_of(request: RunTurnRequest) -> CallPolicy:
@@ -177,6 +179,7 @@
         """Start a process."""
         world = self.world
         self.incarnation += 1
+        world.history.note("returned", upstream=self.address)
         self.process = Process(address=self.address)
         world.network.add(self.process)
         self.upstream.process = self.process
@@ -237,6 +240,8 @@
         process = self.process
         drained = asyncio.create_task(self.runner.drained())
         # A process that is killed in its drain never finishes it.
+        # Owners that chose it just before still get an answer.
+        await asyncio.sleep(LINGER_S)
         await asyncio.wait({drained}, timeout=DRAIN_LIMIT_S)
         self.world.history.note("left", upstream=self.address)
         process.kill()
@@ -304,6 +309,20 @@
         # A copy, because the sidecar changes its record when it drains.
         return self.random.choice(candidates)
 
+    async def ready(self) -> None:
+        """Wait until every shard has an owner, a standby and an arbiter."""
+        for _ in range(READY_POLLS):
+            if all(self._is_assigned(entry) for entry in self.entries):
+                return
+            await asyncio.sleep(0.1)
+        self.history.note("internal_error", reason="shards were not assigned")
+
+    @staticmethod
+    def _is_assigned(entry: EntryNode) -> bool:
+        shards = entry.table.shards(REGION)
+        records = [entry.table.record(shard) for shard in shards]
+        return bool(records) and all(record.arbiter for record in records)
+
     def start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Start a task whose unexpected failure fails the schedule."""
         task = asyncio.create_task(coroutine)
