--- a/lentilroad/program/attempt.py
+++ b/lentilroad/program/attempt.py
@@ -22,7 +22,8 @@
     default_policy,
 )
 from lentilroad.program.records import CallIntent, TurnStarted
-from lentilroad.program.replication import ShardReplicator, ShardTable
+from lentilroad.program.replication import ShardReplicator
+from lentilroad.program.shard_access import ShardTable
 from lentilroad.program.sidecar_calls import CallOutcome, SidecarCalls
 from lentilroad.program.turns import TurnRun, final_failure
 from lentilroad.wire.convert import from_wire_error
--- a/lentilroad/program/execution.py
+++ b/lentilroad/program/execution.py
@@ -31,7 +31,7 @@
     prepare,
 )
 from lentilroad.program.records import TurnFinished
-from lentilroad.program.replication import not_owner
+from lentilroad.program.shard_access import not_owner
 from lentilroad.program.sidecar_calls import CallOutcome, backoff_s
 from lentilroad.program.turns import Program, TurnRun
 from lentilroad.wire.messages import (
--- a/lentilroad/program/lifecycle.py
+++ b/lentilroad/program/lifecycle.py
@@ -18,7 +18,7 @@
 from lentilroad.program.owned import OwnedShards
 from lentilroad.program.preparation import ended_error
 from lentilroad.program.records import Ended, Opened, ProgramState
-from lentilroad.program.replication import ShardTable
+from lentilroad.program.shard_access import ShardTable
 from lentilroad.program.sidecar_calls import SidecarCalls
 from lentilroad.program.turns import Program
 from lentilroad.wire.messages import ForgetRequest, OpenProgramRequest
--- a/lentilroad/program/owned.py
+++ b/lentilroad/program/owned.py
@@ -10,13 +10,8 @@
 from lentilroad.errors import NotFoundError
 from lentilroad.program.budget import Account
 from lentilroad.program.records import ProgramState
-from lentilroad.program.replication import (
-    Call,
-    ShardReplicator,
-    ShardTable,
-    known_record,
-    not_owner,
-)
+from lentilroad.program.replication import Call, ShardReplicator
+from lentilroad.program.shard_access import ShardTable, known_record, not_owner
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program, open_reservation
 from lentilroad.wire.messages import ShardRecord
--- a/lentilroad/program/owner.py
+++ b/lentilroad/program/owner.py
@@ -26,7 +26,8 @@
     fingerprint_of,
     unpack_result,
 )
-from lentilroad.program.replication import Call, ShardTable, not_owner
+from lentilroad.program.replication import Call
+from lentilroad.program.shard_access import ShardTable, not_owner
 from lentilroad.program.sidecar_calls import SidecarCalls, Stream
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program, TurnRun, final_failure
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -6,12 +6,12 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from eliot import log_message
 
 from lentilroad.clock import Clock
-from lentilroad.errors import LentilroadError, NotOwnerError
+from lentilroad.errors import LentilroadError
 from lentilroad.program import const
 from lentilroad.program.records import (
     CopyReset,
@@ -25,6 +25,7 @@
     apply_record,
     encode_record,
 )
+from lentilroad.program.shard_access import ShardTable, known_record, not_owner
 from lentilroad.wire.messages import ReplicateReply, ReplicateRequest, ShardRecord
 from lentilroad.wire.services import REPLICATE, Method
 
@@ -32,22 +33,6 @@
 Body = Opened | TurnStarted | TurnFinished | Ended
 
 
-class ShardTable(Protocol):
-    """What this package needs to know about shards."""
-
-    def record(self, shard: str) -> ShardRecord:
-        """Return the newest record in force; raise while it is not known."""
-        ...
-
-    def accepts(self, shard: str, epoch: int, owner: str) -> bool:
-        """Return whether this entry, as standby, takes the owner's records."""
-        ...
-
-    def my_epoch(self, shard: str) -> int | None:
-        """Return the epoch if this entry owns the shard and may commit."""
-        ...
-
-
 @dataclass(slots=True, kw_only=True)
 class _Pending:
     # None only tells the standby the epoch.
@@ -57,22 +42,6 @@
     done: asyncio.Future[None]
 
 
-def known_record(shard_table: ShardTable, shard: str) -> ShardRecord | None:
-    """Return the record in force, or None while it is not known."""
-    try:
-        return shard_table.record(shard)
-    except LentilroadError:
-        return None
-
-
-def not_owner(shard: str) -> NotOwnerError:
-    """Return the error for a shard that this entry does not own."""
-    return NotOwnerError(
-        f"this entry does not own shard {shard}; look its owner up again",
-        retry_after_ms=const.NOT_OWNER_RETRY_AFTER_MS,
-    )
-
-
 class ShardReplicator:
     """Send a shard's records in order and apply them once they are acknowledged.
 
--- a/lentilroad/program/standby.py
+++ b/lentilroad/program/standby.py
@@ -19,7 +19,7 @@
     apply_record,
     decode_record,
 )
-from lentilroad.program.replication import ShardTable, known_record
+from lentilroad.program.shard_access import ShardTable, known_record
 from lentilroad.wire.messages import ReplicateReply, ReplicateRequest, ShardRecord
 
 
--- a/lentilroad/program/upkeep.py
+++ b/lentilroad/program/upkeep.py
@@ -15,7 +15,7 @@
 from lentilroad.program.history import pack_history
 from lentilroad.program.lifecycle import Lifecycle
 from lentilroad.program.owned import OwnedShards
-from lentilroad.program.replication import ShardTable
+from lentilroad.program.shard_access import ShardTable
 from lentilroad.program.sidecar_calls import SidecarCalls
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.program.turns import Program
