Split the handlers of readers off and make the benchmark repeatable

The benchmark's adaptive limit fell during the runs, because the stand-in's 53 ms per token are at the limit's target, so that later runs waited in the queue and were charged for it.

Change: `Readers` serves `Attach`; `CallLimits` has a module. The benchmark fixes the limit, warms up, and reads over 67 connections, the number of entries that 90 calls reach in a region of 143.

Conclusion: no change in behaviour.

--- a/lentilroad/bench/sidecar.py
+++ b/lentilroad/bench/sidecar.py
@@ -1,20 +1,22 @@
 """Measure what a streamed token and a call cost the sidecar.
 
 Usage:
-  bench_sidecar [--streams=<n>] [--short=<n>] [--long=<n>] [--runs=<n>]
+  bench_sidecar [options]
 
 Options:
   --streams=<n>  Concurrent calls. [default: 90]
+  --readers=<n>  Entries, each with a connection of its own. [default: 67]
   --short=<n>    Tokens of a short call. [default: 60]
-  --long=<n>     Tokens of a long call. [default: 260]
+  --long=<n>     Tokens of a long call. [default: 360]
   --runs=<n>     Runs of each kind; medians are printed. [default: 3]
 
 The stand-in engine, the sidecar and a naive byte relay run in processes of their own;
 the reader runs in this one. The defaults are the load of one worker at peak: 1,700
-tokens/s with 53 ms between the tokens of a call. The CPU time of the measured process
-is taken for short and for long calls: the difference is the cost of the additional
-tokens, the rest is the cost of the calls. Each figure of the relay, which passes
-bytes on and keeps nothing, is the baseline.
+tokens/s with 53 ms between the tokens of a call, from 67 of the 143 entries of a
+region (the expected number when the balancer spreads 90 calls). The CPU time of the
+measured process is taken for short and for long calls: the difference is the cost of
+the additional tokens, the rest is the cost of the calls. The figures of the relay,
+which passes bytes on and keeps nothing, are the baseline.
 """
 
 from __future__ import annotations
@@ -75,7 +77,8 @@
         region="r",
         availability_zone="z",
         entries=[],
-        concurrency=ConcurrencyLimit(clock=SystemClock(), initial=128),
+        # A limit that adapts would make later runs wait.
+        concurrency=ConcurrencyLimit(clock=SystemClock(), initial=256, minimum=256),
     )
     return sidecar.address
 
@@ -123,50 +126,60 @@
     return [m.ChatMessage(role="user", content=f"question {number} [tokens={tokens}]")]
 
 
-async def _read_sidecar(address: str, streams: int, tokens: int, run: int) -> int:
-    peers = PeerConnections(clock=SystemClock())
+async def _read_sidecar(
+    address: str, streams: int, tokens: int, run: int, readers: int
+) -> int:
+    peers = [PeerConnections(clock=SystemClock()) for _ in range(readers)]
     received = 0
 
     async def follow(number: int) -> None:
         nonlocal received
         call_id = f"run-{run}-call-{number}"
-        request = m.DispatchRequest(
-            call_id=call_id,
-            shard="r/0001",
-            epoch=1,
-            program_id=f"program-{number}",
-            caller_id="caller-1",
-            kind="chat",
-            idempotent=True,
-            # The queue must not refuse part of the load.
-            priority=m.Priority(caller_id="caller-1", under_way=True),
-            model="model",
-            messages=_messages(number, tokens),
-            max_tokens=tokens,
-        )
+        request = _dispatch_request(call_id, number, tokens)
+        peer = peers[number % len(peers)]
         attach = m.AttachRequest(call_id=call_id)
         reader = asyncio.ensure_future(
-            _read_chunks(peers.stream(address, services.ATTACH, attach, None))
+            _read_chunks(peer.stream(address, services.ATTACH, attach, None))
         )
-        async for event in peers.stream(address, services.DISPATCH, request, None):
+        async for event in peer.stream(address, services.DISPATCH, request, None):
             last = event.event
         text = await reader
         assert isinstance(last, m.Finished), last
         assert text == last.text
         received += last.usage.completion_tokens
         release = m.ReleaseRequest(call_id=call_id, shard="r/0001", epoch=1)
-        await peers.call(address, services.RELEASE, release, 5.0)
+        await peer.call(address, services.RELEASE, release, 5.0)
 
     await asyncio.gather(*[follow(number) for number in range(streams)])
-    await peers.close()
+    for peer in peers:
+        await peer.close()
     return received
 
 
+def _dispatch_request(call_id: str, number: int, tokens: int) -> m.DispatchRequest:
+    return m.DispatchRequest(
+        call_id=call_id,
+        shard="r/0001",
+        epoch=1,
+        program_id=f"program-{number}",
+        caller_id="caller-1",
+        kind="chat",
+        idempotent=True,
+        # The queue must not refuse part of the load.
+        priority=m.Priority(caller_id="caller-1", under_way=True),
+        model="model",
+        messages=_messages(number, tokens),
+        max_tokens=tokens,
+    )
+
+
 async def _read_chunks(chunks: Any) -> str:
     return "".join([chunk.text async for chunk in chunks])
 
 
-async def _read_relay(url: str, streams: int, tokens: int, run: int) -> int:
+async def _read_relay(
+    url: str, streams: int, tokens: int, run: int, readers: int
+) -> int:
     received = 0
 
     async def follow(session: aiohttp.ClientSession, number: int) -> None:
@@ -191,7 +204,7 @@
 
 
 def measure(
-    *, streams: int, lengths: tuple[int, int], runs: int
+    *, streams: int, lengths: tuple[int, int], runs: int, readers: int
 ) -> list[tuple[list[float], list[float]]]:
     """Return the cost of a token and of a call, for the sidecar and for the relay.
 
@@ -203,6 +216,8 @@
         Tokens of a short and of a long call.
     runs : int
         Runs of each kind; they alternate.
+    readers : int
+        Entries, each with a connection of its own.
 
     Returns
     -------
@@ -215,6 +230,9 @@
         (*_start(_relay, url), _read_relay),
     ]
     figures: list[tuple[list[float], list[float]]] = [([], []), ([], [])]
+    for number, (_, address, read) in enumerate(kinds):
+        # The first calls of a process cost more.
+        uvloop.run(read(address, streams, lengths[0], -1 - number, readers))
     for run in range(runs):
         for (process, address, read), (per_token, per_call) in zip(
             kinds, figures, strict=True
@@ -223,7 +241,7 @@
             for length in lengths:
                 before_s = _cpu_s(process.pid or 0)
                 number = run * max(lengths) + length
-                received = uvloop.run(read(address, streams, length, number))
+                received = uvloop.run(read(address, streams, length, number, readers))
                 assert received == streams * length
                 used_us.append(1e6 * (_cpu_s(process.pid or 0) - before_s) / streams)
             token_us = (used_us[1] - used_us[0]) / (lengths[1] - lengths[0])
@@ -260,6 +278,7 @@
         streams=int(arguments["--streams"]),
         lengths=(int(arguments["--short"]), int(arguments["--long"])),
         runs=int(arguments["--runs"]),
+        readers=int(arguments["--readers"]),
     )
     lines = [
         _line("sidecar_cpu_per_token", sidecar[0], relay[0], TARGET_US),
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -22,7 +22,7 @@
 from lentilroad.request.concurrency import ConcurrencyLimit
 from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
-from lentilroad.upstream.running import CallLimits
+from lentilroad.upstream.limits import CallLimits
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
 
 _ANNOUNCE_DRAIN_S = 0.2
--- a/lentilroad/upstream/calls.py
+++ b/lentilroad/upstream/calls.py
@@ -14,7 +14,6 @@
 from lentilroad.errors import (
     DeadlineExceededError,
     LentilroadError,
-    NotFoundError,
     OverloadedError,
     ProgramEndedError,
     UnavailableError,
@@ -24,11 +23,12 @@
 from lentilroad.upstream.fencing import CommandGate, EpochFence
 from lentilroad.upstream.interfaces import RunnerQueue
 from lentilroad.upstream.ledger import CallRecord, Ledger
+from lentilroad.upstream.limits import CallLimits
 from lentilroad.upstream.output import OutputBuffer
-from lentilroad.upstream.reading import read_output
+from lentilroad.upstream.readers import Readers
 from lentilroad.upstream.refusal import check_acceptable, refused
 from lentilroad.upstream.resolving import resolve_call
-from lentilroad.upstream.running import CallExecution, CallLimits
+from lentilroad.upstream.running import CallExecution
 from lentilroad.wire import messages as m
 from lentilroad.wire import services
 from lentilroad.wire.convert import to_wire_error
@@ -81,6 +81,7 @@
         self.ledger = Ledger() if ledger is None else ledger
         self._limits = limits or CallLimits()
         self._fence = EpochFence()
+        self.readers = Readers(ledger=self.ledger, clock=clock, limits=self._limits)
         self.care = EngineCare(engine=engine, clock=clock)
         self.programs = self.care.programs
         self.commands = None if engine is None else CommandGate(engine=engine)
@@ -212,41 +213,9 @@
 
     # Output and records
 
-    async def attach(self, request: m.AttachRequest) -> AsyncIterator[m.OutputChunk]:
+    def attach(self, request: m.AttachRequest) -> AsyncIterator[m.OutputChunk]:
         """Yield a call's output from an offset; slow readers get longer chunks."""
-        record = await self._arrived(request.call_id)
-        if record is None:
-            yield self._missing(request)
-            return
-        chunks = read_output(
-            record=record,
-            offset=request.offset,
-            interval_s=self._limits.chunk_interval_s,
-            clock=self._clock,
-        )
-        async for chunk in chunks:
-            yield chunk
-
-    async def _arrived(self, call_id: str) -> CallRecord | None:
-        """Wait for a call whose Dispatch may still be under way."""
-        try:
-            async with asyncio.timeout(self._limits.attach_wait_s):
-                while True:
-                    record = self.ledger.get(call_id)
-                    if record is not None or self.ledger.settled(call_id) is not None:
-                        return record
-                    await self.ledger.arrived.wait()
-        except TimeoutError:
-            return None
-
-    def _missing(self, request: m.AttachRequest) -> m.OutputChunk:
-        settled = self.ledger.settled(request.call_id)
-        if settled is not None and settled.state != "released":
-            error = settled.result.error
-        else:
-            missing = NotFoundError("the call's output is not here; ask its owner")
-            error = to_wire_error(missing)
-        return m.OutputChunk(offset=request.offset, text="", finished=True, error=error)
+        return self.readers.attach(request)
 
     async def release(self, request: m.ReleaseRequest) -> m.Acknowledged:
         """Drop a call's output after it was committed."""
--- a/tests/fakes/sidecar.py
+++ b/tests/fakes/sidecar.py
@@ -9,7 +9,7 @@
 from lentilroad.standins.service import ServiceStandin
 from lentilroad.upstream.calls import CallRunner
 from lentilroad.upstream.fifo import FifoQueue
-from lentilroad.upstream.running import CallLimits
+from lentilroad.upstream.limits import CallLimits
 from lentilroad.wire import messages as m
 
 SHARD = "r/0001"
--- a/tests/upstream/test_reading.py
+++ b/tests/upstream/test_reading.py
@@ -8,7 +8,7 @@
 
 from lentilroad.standins.engine import expected_text
 from lentilroad.standins.virtual_loop import run_virtual
-from lentilroad.upstream.running import CallLimits
+from lentilroad.upstream.limits import CallLimits
 from lentilroad.wire import messages as m
 from tests.fakes.sidecar import SidecarFake
 
@@ -68,7 +68,7 @@
 
     async def run():
         sidecar = SidecarFake()
-        sidecar.runner._limits = CallLimits(chunk_interval_s=0.5)
+        sidecar.runner.readers._limits = CallLimits(chunk_interval_s=0.5)
         task = sidecar.start(sidecar.request(tokens=200))
         chunks = await sidecar.attach("call-1")
         ended_s = sidecar.clock.monotonic_s()
