--- a/lentilroad/connection/const.py
+++ b/lentilroad/connection/const.py
@@ -8,5 +8,3 @@
 STALL_TOLERANCE_S = 0.5
 HTTP2_WINDOW_BYTES = 4 * 2**20
 SHUTDOWN_GRACE_S = 30.0
-# Twice the 5,000 callers' streams of one entry, all to the same peer.
-CONCURRENT_STREAMS = 10_000
--- a/lentilroad/connection/server.py
+++ b/lentilroad/connection/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 import ssl
-from asyncio import BaseTransport
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 from weakref import WeakSet
@@ -14,10 +13,8 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
-from h2.settings import SettingCodes
 
 from lentilroad.connection.const import (
-    CONCURRENT_STREAMS,
     HTTP2_WINDOW_BYTES,
     SHUTDOWN_GRACE_S,
 )
@@ -38,24 +35,6 @@
 _BACKLOG = 512
 
 
-class _ManyStreamsProtocol(H2Protocol):
-    """Protocol that accepts more than h2's default of 100 concurrent streams.
-
-    A client that reaches the limit waits until one of its streams ends, and the
-    streams between processes last as long as calls do.
-    """
-
-    def connection_made(self, transport: BaseTransport) -> None:
-        super().connection_made(transport)
-        h2_connection = self.connection._connection
-        h2_connection.update_settings(
-            {SettingCodes.MAX_CONCURRENT_STREAMS: CONCURRENT_STREAMS}
-        )
-        # The first burst of streams arrives before the client's acknowledgement.
-        h2_connection.local_settings.acknowledge()
-        self.connection.flush()
-
-
 def open_listener(host: str, port: int) -> socket.socket:
     """Return a bound TCP socket; port 0 takes a free one.
 
@@ -78,8 +57,7 @@
         self._protocols: WeakSet[H2Protocol] = WeakSet()
 
     def _protocol_factory(self) -> H2Protocol:
-        made = super()._protocol_factory()
-        protocol = _ManyStreamsProtocol(made.handler, made.config, made.h2_config)
+        protocol = super()._protocol_factory()
         self._protocols.add(protocol)
         return protocol
 
