--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -25,7 +25,7 @@
 from lentilroad.request.concurrency import ConcurrencyLimit
 from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
-from lentilroad.upstream.running import CallLimits
+from lentilroad.upstream.limits import CallLimits
 from lentilroad.version.distribution import Distribution
 from lentilroad.version.model import ConfigurationVersion
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
