Leave the record out of most sidecar heartbeats; tell owners what was relayed

After the loss of a sidecar the owner waited 2 s, because only the front knows which text the caller has seen.

--- a/lentilroad/bench/entry.py
+++ b/lentilroad/bench/entry.py
@@ -73,7 +73,8 @@
     return TEXT.replace("KEY_SHA256", hashlib.sha256(KEY.encode()).hexdigest())
 
 
-def _resident_mb(process_id: int) -> float:
+def resident_mb(process_id: int) -> float:
+    """Return the resident memory of a process in MB."""
     pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
@@ -153,9 +154,10 @@
     sys.stdout.flush()
 
 
-async def _start(
+async def start(
     session: aiohttp.ClientSession, processes: Processes, layout: Layout
 ) -> None:
+    """Start all processes of a layout and put the bench's configuration in force."""
     for instance in layout.all():
         processes.start(instance)
     url = f"http://{layout.key_value.host}:{KEY_VALUE_PORT}"
@@ -241,19 +243,23 @@
     await asyncio.gather(*(open_one(number) for number in range(count)))
 
 
-async def measure(options: dict[str, str], folder: Path) -> None:
-    """Start the processes, measure and print."""
-    configuration = compile_text(_text())
-    layout = build_layout(
-        configuration=configuration,
+def bench_layout(folder: Path) -> Layout:
+    """Return one entry, two sidecars and two engines."""
+    return build_layout(
+        configuration=compile_text(_text()),
         folder=folder,
         subnet=f"127.{20 + os.getpid() % 200}.9",
     )
+
+
+async def measure(options: dict[str, str], folder: Path) -> None:
+    """Start the processes, measure and print."""
+    layout = bench_layout(folder)
     processes = Processes(folder=folder)
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         try:
-            await _start(session, processes, layout)
+            await start(session, processes, layout)
             await _measure(session, processes, layout, options)
         finally:
             await processes.stop_all()
@@ -268,9 +274,9 @@
     entry = layout.entries[0]
     entry_pid = processes.running[entry.name].pid
     sidecar_pids = [processes.running[one.name].pid for one in layout.sidecars]
-    idle_mb = _resident_mb(entry_pid)
+    idle_mb = resident_mb(entry_pid)
     line("entry.memory_idle", idle_mb, "MB", IDLE_MB)
-    line("sidecar.memory_idle", _resident_mb(sidecar_pids[0]), "MB", IDLE_MB)
+    line("sidecar.memory_idle", resident_mb(sidecar_pids[0]), "MB", IDLE_MB)
     engine = next(one for one in layout.upstreams if one.kind == "engine")
     relay = await naive_relay(engine.upstream_url, entry.host)
     relay_url = f"http://{entry.host}:{RELAY_PORT}"
@@ -309,7 +315,7 @@
     line("sidecar.cpu_per_token", sidecar_us, "us", SIDECAR_TOKEN_US)
     await _open_programs(session, entry, int(options["--programs"]))
     await asyncio.sleep(5.0)
-    line("entry.memory_programs", _resident_mb(entry_pid), "MB", PROGRAMS_MB, idle_mb)
+    line("entry.memory_programs", resident_mb(entry_pid), "MB", PROGRAMS_MB, idle_mb)
 
 
 def main(argv: list[str] | None = None) -> int:
--- /dev/null
+++ b/lentilroad/capacity/const.py
@@ -0,0 +1,26 @@
+"""The size that the capacity page is worked out for."""
+
+from __future__ import annotations
+
+NODES = 430
+WORKERS = 3_900
+REQUESTS_PER_S = 27_000
+TOKENS_PER_S = 6_600_000
+PROGRAMS = 280_000
+HISTORY_TOKENS_MAX = 180_000
+CALLERS = 260
+MODELS = 13
+REGIONS = 3
+CHANGES_PER_DAY = 16_000
+FAILURES_PER_DAY = 42
+REPLACEMENTS_PER_DAY = 1_300
+SECONDS_PER_DAY = 86_400
+
+CONTROL_CORE_SHARE = 0.021
+CONTROL_MEMORY_MB = 256.0
+CONTROL_BYTES_PER_S = 12_000.0
+KEY_VALUE_READS_PER_S = 200.0
+KEY_VALUE_WRITES_PER_S = 50.0
+
+# TCP and IP headers with timestamps, and a frame header, for a message of its own.
+TRANSPORT_BYTES_PER_MESSAGE = 66
--- a/lentilroad/membership/shard_state.py
+++ b/lentilroad/membership/shard_state.py
@@ -106,7 +106,7 @@
 
     def named_in(self) -> list[str]:
         """Return the shards whose record in force names this process."""
-        return [s.name for s in self.states.values() if self._named(s.record)]
+        return [s.name for s in self.states.values() if self.named(s.record)]
 
     def owned(self) -> list[ShardState]:
         """Return the shards whose record in force names this process as owner."""
--- a/lentilroad/membership/sidecars.py
+++ b/lentilroad/membership/sidecars.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import eliot
 import msgspec
@@ -56,6 +56,7 @@
     awaited_s: float | None = None
     changed_s: float = 0.0
     config_version: int = 0
+    sent_home_entries: list[str] = field(default_factory=list)
 
 
 def _reported(record: SidecarRecord) -> tuple[int, int]:
@@ -158,22 +159,42 @@
 
     async def heartbeat(self, request: SidecarHeartbeat) -> SidecarHeartbeatReply:
         """Handle `SIDECAR_HEARTBEAT`."""
+        record = request.record or self._identified(request)
+        if record is None:
+            return SidecarHeartbeatReply(
+                entry_incarnation=self._incarnation, wants_record=True
+            )
         now_s = self._clock.monotonic_s()
-        known = self._learn(self._observed(request.record), now_s)
-        if known.record.incarnation == request.record.incarnation:
+        known = self._learn(self._observed(record), now_s)
+        if known.record.incarnation == record.incarnation:
             known.load = request.load
             known.load_time_s = now_s
             known.heartbeat_s = now_s
             known.awaited_s = None
             known.config_version = request.config_version
         if self._on_config_version is not None:
-            self._on_config_version(request.record.address, request.config_version)
+            self._on_config_version(record.address, request.config_version)
+        home_entries = self.home_entries(record.address)
+        if request.record is None and home_entries == known.sent_home_entries:
+            home_entries = []
+        else:
+            known.sent_home_entries = home_entries
         return SidecarHeartbeatReply(
             entry_incarnation=self._incarnation,
             config_version=self._config_version(),
-            home_entries=self.home_entries(request.record.address),
+            home_entries=home_entries,
         )
 
+    def _identified(self, request: SidecarHeartbeat) -> SidecarRecord | None:
+        """Return the known record that a heartbeat without one refers to."""
+        known = self._known.get(request.address)
+        if known is None or known.record.state == "dead":
+            return None
+        version = (known.record.incarnation, known.record.sequence)
+        if version != (request.incarnation, request.sequence):
+            return None
+        return known.record
+
     def note_load(self, address: str, load: LoadReport) -> None:
         """Keep a load report that came another way than by heartbeat."""
         known = self._known.get(address)
--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -118,6 +118,7 @@
             random=self.random,
             on_gained=lambda shard, record: self.owner.on_gained(shard, record),
             on_lost=lambda shard: self.owner.on_lost(shard),
+            on_changed=lambda shard, record: self.owner.on_changed(shard, record),
             copy_shard=lambda *move: self.owner.copy_shard(*move),
         )
         self.members.extend(self.directory.fill, self.directory.read)
@@ -165,7 +166,10 @@
             clock=self.clock,
         )
         self.standby = ProgramStandby(
-            address=settings.address, shard_table=self.shard_table, clock=self.clock
+            address=settings.address,
+            shard_table=self.shard_table,
+            clock=self.clock,
+            started_ms=self.incarnation,
         )
         self.owner = ProgramOwner(
             address=settings.address,
@@ -390,7 +394,7 @@
     async def _wait_handed_over(self) -> None:
         give_up_s = self.clock.monotonic_s() + HAND_OVER_TIMEOUT_S
         table = self.shard_table
-        while table.named_in() or table.moving_away():
+        while table.named_in() or table.moving_away() or self.owner.shards_held():
             if not self._others_take_shards():
                 return
             if self.clock.monotonic_s() >= give_up_s:
--- a/lentilroad/process/heartbeats.py
+++ b/lentilroad/process/heartbeats.py
@@ -13,6 +13,9 @@
 from lentilroad.wire.messages import SidecarHeartbeat, SidecarHeartbeatReply
 from lentilroad.wire.services import SIDECAR_HEARTBEAT, Method
 
+# A record sent again repairs what an entry lost without noticing.
+FULL_RECORD_BEATS = 20
+
 Call = Callable[[str, Method, Any, float | None], Awaitable[Any]]
 
 
@@ -51,6 +54,8 @@
         self._report = report
         self._on_reply = on_reply
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        # Version of the record each entry was sent, and heartbeats since.
+        self._told: dict[str, tuple[tuple[int, int], int]] = {}
         self._urgent = Notifier()
         self.home_entries: list[str] = list(entries)
         self.heard_s: dict[str, float] = {}
@@ -93,9 +98,14 @@
         while True:
             try:
                 reply = await self._call(
-                    address, SIDECAR_HEARTBEAT, self._report(), PEER_SILENT_AFTER_S
+                    address,
+                    SIDECAR_HEARTBEAT,
+                    self._message(address),
+                    PEER_SILENT_AFTER_S,
                 )
             except LentilroadError:
+                # The entry may have lost what it knew.
+                self._told.pop(address, None)
                 reply = None
             if reply is not None:
                 self._accept(address, reply)
@@ -105,8 +115,30 @@
             except TimeoutError:
                 continue
 
+    def _message(self, address: str) -> SidecarHeartbeat:
+        """Return the report, without the record when the entry has it."""
+        report = self._report()
+        record = report.record
+        assert record is not None
+        version = (record.incarnation, record.sequence)
+        told_version, beats = self._told.get(address, ((0, 0), 0))
+        if told_version != version or beats >= FULL_RECORD_BEATS:
+            self._told[address] = (version, 1)
+            return report
+        self._told[address] = (version, beats + 1)
+        return SidecarHeartbeat(
+            load=report.load,
+            address=record.address,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+            config_version=report.config_version,
+        )
+
     def _accept(self, address: str, reply: SidecarHeartbeatReply) -> None:
         self.heard_s[address] = self._clock.monotonic_s()
+        if reply.wants_record:
+            self._told.pop(address, None)
+            return
         if reply.home_entries:
             self.home_entries = list(reply.home_entries)
         if self._on_reply is not None:
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -31,6 +31,7 @@
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
 
 _ANNOUNCE_DRAIN_S = 0.2
+_ANSWER_AFTER_DRAIN_S = 2.0
 
 
 class Sidecar:
@@ -73,6 +74,9 @@
         self.heartbeats.send_now()
         await self.runner.drained()
         await self.runner.care.release_all()
+        # An owner that takes over now asks what became of the last calls; without an
+        # answer they would count as unknown.
+        await asyncio.sleep(_ANSWER_AFTER_DRAIN_S)
 
     async def close(self) -> None:
         """Stop at once."""
--- a/lentilroad/request/relay.py
+++ b/lentilroad/request/relay.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from lentilroad.clock import Clock
 from lentilroad.errors import (
     LentilroadError,
@@ -20,28 +22,43 @@
 from lentilroad.wire.convert import from_wire_error
 from lentilroad.wire.services import ATTACH
 
-RunTurn = Callable[[m.RunTurnRequest], AsyncIterator[m.TurnEvent]]
+RunTurn = Callable[[m.RunTurnRequest], AsyncGenerator[m.TurnEvent, None]]
 StreamFunction = Callable[..., AsyncIterator[Any]]
 WriteText = Callable[[str, int], Awaitable[None]]
 
 
 @dataclass(slots=True, kw_only=True)
 class RelayPosition:
-    """How much of the answer the caller has been sent, in characters."""
+    """What is known of the answer, and how much of it the caller has been sent.
+
+    ``offset`` counts characters; a resumed stream starts above 0.
+    """
 
     offset: int = 0
+    pieces: list[str] = field(default_factory=list)
+    length: int = 0
+
+    def text(self) -> str:
+        """Return the answer as far as it is known."""
+        return "".join(self.pieces)
 
 
 async def _write_from(
     position: RelayPosition, text: str, offset: int, write: WriteText
 ) -> None:
     """Write the part of `text` that the caller has not been sent."""
-    seen = position.offset - offset
+    seen = position.length - offset
     # A chunk beyond the position would leave a gap; the commit supplies the rest.
     if seen < 0 or seen >= len(text):
         return
-    position.offset = offset + len(text)
-    await write(text[seen:] if seen else text, position.offset)
+    new_text = text[seen:] if seen else text
+    position.pieces.append(new_text)
+    position.length += len(new_text)
+    unsent = position.length - position.offset
+    if unsent <= 0:
+        return
+    position.offset = position.length
+    await write(new_text[-unsent:], position.offset)
 
 
 async def _attach(
@@ -52,10 +69,11 @@
     stream: StreamFunction,
     clock: Clock,
     write: WriteText,
+    report_broken: Callable[[], Awaitable[None]],
 ) -> None:
     """Copy a call's output to the caller until it is finished."""
     while True:
-        request = m.AttachRequest(call_id=call_id, offset=position.offset)
+        request = m.AttachRequest(call_id=call_id, offset=position.length)
         try:
             async for chunk in stream(sidecar_address, ATTACH, request, None):
                 await _write_from(position, chunk.text, chunk.offset, write)
@@ -63,11 +81,31 @@
                 if chunk.finished or chunk.error is not None:
                     return
         except LentilroadError:
+            await report_broken()
             await clock.sleep(ATTACH_RETRY_DELAY_S)
         else:
             return
 
 
+async def _tell_emitted_text(
+    request: m.RunTurnRequest, run_turn: RunTurn, position: RelayPosition
+) -> None:
+    """Tell the owner what the caller has seen, so that another sidecar goes on there.
+
+    Only the front knows it once the sidecar is lost. A repeat with the same key joins
+    the turn.
+    """
+    repeat = msgspec.structs.replace(request, emitted_text=position.text())
+    events = run_turn(repeat)
+    try:
+        async for _ in events:
+            return
+    except LentilroadError:
+        return
+    finally:
+        await events.aclose()
+
+
 async def _stop(task: asyncio.Task[None] | None) -> None:
     if task is None:
         return
@@ -116,8 +154,17 @@
         The turn failed; `OutcomeUnknownError` when no owner answered in time.
     """
     attach: asyncio.Task[None] | None = None
+    if write is None:
+        # Nothing is relayed, so that a lost call may start anew at once.
+        request = msgspec.structs.replace(request, emitted_text="")
+
+    async def report_broken() -> None:
+        await _tell_emitted_text(request, run_turn, position)
+
     try:
         while True:
+            if position.pieces:
+                request = msgspec.structs.replace(request, emitted_text=position.text())
             try:
                 async for message in run_turn(request):
                     event = message.event
@@ -140,6 +187,7 @@
                             stream=stream,
                             clock=clock,
                             write=write,
+                            report_broken=report_broken,
                         )
                     )
             except (UnavailableError, NotOwnerError) as error:
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -354,10 +354,17 @@
 
 
 class SidecarHeartbeat(Message):
-    """Heartbeat of a sidecar to an entry."""
+    """Heartbeat of a sidecar to an entry.
+
+    The record is sent when it has changed and now and then; between, `address`,
+    `incarnation` and `sequence` identify it.
+    """
 
-    record: SidecarRecord
     load: LoadReport
+    record: SidecarRecord | None = None
+    address: str = ""
+    incarnation: int = 0
+    sequence: int = 0
     config_version: int = 0
 
 
@@ -366,8 +373,10 @@
 
     entry_incarnation: int
     config_version: int = 0
-    # Entries that the sidecar should report to.
+    # Entries that the sidecar should report to; empty when they are unchanged.
     home_entries: list[str] = []
+    # The entry does not know the record that the heartbeat identifies.
+    wants_record: bool = False
 
 
 class PeerRecord(Message):
--- a/tests/fakes/front.py
+++ b/tests/fakes/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import itertools
 
@@ -30,11 +31,18 @@
         self.attach_chunks = None
         self.error = None
         self.rate_limited = False
+        # Turns commit after a repeat with emitted text has arrived.
+        self.commit_after_report = False
+        self.reported = asyncio.Event()
 
     async def run_turn(self, request):
         """Yield the events of a turn."""
         self.turns.append(request)
+        if request.emitted_text:
+            self.reported.set()
         yield m.TurnEvent(event=m.Admitted(call_id="c", sidecar_address="s"))
+        if self.commit_after_report:
+            await self.reported.wait()
         if self.failures:
             raise self.failures.pop(0)
         if self.error is not None:
@@ -53,6 +61,8 @@
     async def stream(self, address, method, request, timeout_s):
         """Yield the sidecar's output."""
         for chunk in self.attach_chunks or []:
+            if isinstance(chunk, Exception):
+                raise chunk
             yield chunk
 
     async def open_program(self, request):
--- a/tests/membership/test_sidecars.py
+++ b/tests/membership/test_sidecars.py
@@ -172,3 +172,22 @@
     directory = make_directory(ManualClock())
     reply = await directory.heartbeat(heartbeat())
     assert sorted(reply.home_entries) == ENTRIES
+
+
+async def test_heartbeat_without_record_needs_a_known_one():
+    """A restarted entry must ask for the record instead of guessing it."""
+    directory = make_directory(ManualClock())
+    record = make_record()
+    short = SidecarHeartbeat(
+        load=LoadReport(queued=3),
+        address=record.address,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+    )
+    assert (await directory.heartbeat(short)).wants_record
+    assert directory.record(record.address) is None
+    first = await directory.heartbeat(heartbeat())
+    assert first.home_entries
+    again = await directory.heartbeat(short)
+    assert not again.wants_record
+    assert again.home_entries == []
--- a/tests/request/test_http.py
+++ b/tests/request/test_http.py
@@ -79,6 +79,17 @@
     assert len(owner.turns) == 2
 
 
+async def test_lost_sidecar_is_reported_with_the_text_that_was_sent(client, owner):
+    """Another sidecar must go on where the caller is, and not start anew."""
+    owner.attach_chunks = [m.OutputChunk(offset=0, text="one "), UnavailableError("x")]
+    owner.commit_after_report = True
+    response = await client.post(CHAT, json={**BODY, "stream": True})
+    text, _, done = await stream_text(response)
+    assert text == ANSWER
+    assert done
+    assert owner.turns[-1].emitted_text == "one "
+
+
 async def test_refusal_names_outcome_and_time_to_retry(client, owner):
     """A refusal must say that nothing ran and when to come back."""
     owner.error = to_wire_error(OverloadedError("busy; retry", retry_after_ms=1200))
