--- a/lentilroad/capacity/page.py
+++ b/lentilroad/capacity/page.py
@@ -379,8 +379,9 @@
 
 ## What breaks first
 
-1. Heartbeats of sidecars: they carry the whole directory record each time. Sending it
-   only when it has changed is the next step.
+1. Control traffic: half of it is heartbeats of sidecars, and more than half of those
+   bytes are transport headers ({const.TRANSPORT_BYTES_PER_MESSAGE} B assumed each
+   way). Sending each heartbeat to one home entry in turn is the next step.
 2. Memory, if most histories are near {const.HISTORY_TOKENS_MAX:,} tokens at once.
 3. Processor time per token at the entry, see `python -m lentilroad.bench.entry`.
 """
--- /dev/null
+++ b/lentilroad/packaging/__init__.py
@@ -0,0 +1,1 @@
+"""Build of the one shipped file."""
