Stop the demonstration's processes side by side and show its phases

Cause: the demonstration took 49 s on an idle machine, because processes were waited for one after another. Change: they are waited for together; phases are printed with their time.

--- a/lentilroad/demo/processes.py
+++ b/lentilroad/demo/processes.py
@@ -60,13 +60,17 @@
         for process in self.running.values():
             if process.poll() is None:
                 process.terminate()
-        for name, process in self.running.items():
-            try:
-                code = await asyncio.to_thread(process.wait, STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
+        await asyncio.gather(*(self._end(name) for name in self.running))
+
+    async def _end(self, name: str) -> None:
+        process = self.running[name]
+        waited_s = 0.0
+        while process.poll() is None:
+            if waited_s >= STOP_TIMEOUT_S:
                 process.kill()
-                code = await asyncio.to_thread(process.wait)
-            self.exit_codes[name] = code
+            await asyncio.sleep(POLL_INTERVAL_S)
+            waited_s += POLL_INTERVAL_S
+        self.exit_codes[name] = process.returncode
 
     def check_alive(self, instance: Instance) -> None:
         """Raise `StartError` when a process has ended."""
--- a/lentilroad/demo/scenario.py
+++ b/lentilroad/demo/scenario.py
@@ -5,6 +5,8 @@
 import asyncio
 import random
 import signal
+import sys
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -88,6 +90,7 @@
     results: list[ProgramResult] = field(default_factory=list)
     ended: set[str] = field(default_factory=set)
     stopped: set[str] = field(default_factory=set)
+    started_s: float = field(default_factory=time.monotonic)
 
     async def run(self) -> Outcome:
         """Run the deployment from start to stop."""
@@ -102,12 +105,20 @@
             timeout=timeout, connector=connector
         ) as session:
             try:
+                self._say(f"starting {len(layout.all())} processes")
                 await self._start(session, processes, layout)
+                self._say("running programs")
                 await self._drive(session, processes, layout)
+                self._say("judging")
                 return await self._judge(session, layout)
             finally:
+                self._say("stopping")
                 await processes.stop_all()
 
+    def _say(self, text: str) -> None:
+        elapsed_s = time.monotonic() - self.started_s
+        sys.stderr.write(f"{elapsed_s:5.1f} s  {self.deployment.name}: {text}\n")
+
     async def _start(
         self, session: aiohttp.ClientSession, processes: Processes, layout: Layout
     ) -> None:
