--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -40,7 +40,7 @@
 from lentilroad.request.owner_calls import OwnerCalls
 from lentilroad.request.retry import RetryBudget
 from lentilroad.request.router import Router
-from lentilroad.request.upstream_choice import UpstreamChoice
+from lentilroad.request.upstream_choice import UpstreamChoice, noting_load
 from lentilroad.version.distribution import Distribution
 from lentilroad.version.store import ConfigurationStore
 from lentilroad.version.watch import is_watcher
@@ -176,7 +176,7 @@
             shard_table=self.shard_table,
             standby=self.standby,
             call=self.connections.call,
-            stream=self.connections.stream,
+            stream=noting_load(self.connections.stream, self.directory.note_load),
             choose_upstream=self.choice.choose,
             shard_of=shard_of,
             clock=self.clock,
--- a/lentilroad/request/upstream_choice.py
+++ b/lentilroad/request/upstream_choice.py
@@ -3,21 +3,52 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from itertools import count
+from typing import Any
 
 from lentilroad.clock import Clock
 from lentilroad.errors import OverloadedError
 from lentilroad.membership.sidecars import SidecarDirectory
 from lentilroad.request.router import Router
 from lentilroad.request.routing import CallShape
-from lentilroad.wire.messages import SidecarRecord
+from lentilroad.wire.messages import LoadReport, SidecarRecord
+from lentilroad.wire.services import DISPATCH, Method
 
 # The directory is read this often for each name; calls in between use own counts.
 REFRESH_INTERVAL_S = 0.1
 NO_UPSTREAM_RETRY_AFTER_MS = 500
 
 
+Stream = Callable[[str, Method, Any, float | None], AsyncGenerator[Any, None]]
+
+
+def noting_load(stream: Stream, note_load: Callable[[str, LoadReport], None]) -> Stream:
+    """Return a stream function that keeps the load reports of dispatched calls.
+
+    Parameters
+    ----------
+    stream : callable
+        Opens a stream to a sidecar.
+    note_load : callable
+        Receives the sidecar's address and its load.
+    """
+
+    async def noting(
+        address: str, method: Method, request: Any, timeout_s: float | None
+    ) -> AsyncGenerator[Any, None]:
+        async with aclosing(stream(address, method, request, timeout_s)) as replies:
+            async for reply in replies:
+                if method is DISPATCH:
+                    load = getattr(reply.event, "load", None)
+                    if load is not None:
+                        note_load(address, load)
+                yield reply
+
+    return noting
+
+
 class UpstreamChoice:
     """Choose upstreams with what the directory and the owner know.
 
--- a/lentilroad/upstream/calls.py
+++ b/lentilroad/upstream/calls.py
@@ -163,7 +163,7 @@
     ) -> AsyncIterator[m.Queued | m.Started | m.Finished | m.Refused]:
         record.owners += 1
         try:
-            yield m.Queued(position=len(self._queue))
+            yield m.Queued(position=len(self._queue), load=self._load_report())
             while record.started_s is None and record.result is None:
                 await record.changed.wait()
             if record.started_s is not None:
--- a/lentilroad/wire/messages.py
+++ b/lentilroad/wire/messages.py
@@ -209,10 +209,27 @@
     incarnation: int = 0
 
 
+class LoadReport(Message):
+    """Load of one upstream as its sidecar sees it."""
+
+    running: int = 0
+    queued: int = 0
+    limit: int = 1
+    cached_tokens: int = 0
+    cache_capacity_tokens: int = 0
+    prefill_tokens_per_s: float = 0.0
+    time_per_token_s: float = 0.0
+    queue_wait_s: float = 0.0
+    # Time since an engine with running calls last produced a token, else 0.
+    silent_s: float = 0.0
+
+
 class Queued(Message, tag="queued"):
     """The sidecar accepted the call into its queue."""
 
     position: int = 0
+    # Owners that are no home of the sidecar learn its load from this.
+    load: LoadReport | None = None
 
 
 class Started(Message, tag="started"):
@@ -320,21 +337,6 @@
     error: WireError | None = None
 
 
-class LoadReport(Message):
-    """Load of one upstream as its sidecar sees it."""
-
-    running: int = 0
-    queued: int = 0
-    limit: int = 1
-    cached_tokens: int = 0
-    cache_capacity_tokens: int = 0
-    prefill_tokens_per_s: float = 0.0
-    time_per_token_s: float = 0.0
-    queue_wait_s: float = 0.0
-    # Time since an engine with running calls last produced a token, else 0.
-    silent_s: float = 0.0
-
-
 class SidecarRecord(Message):
     """Directory entry of one sidecar."""
 
