Poll the engine at intervals only, not at the end of every call

Cause: each finished call woke the engine care, which polled load and cache events, two more requests per call at the engine. Change: a wake only releases memory and repeats cancels.

--- a/lentilroad/upstream/engine_care.py
+++ b/lentilroad/upstream/engine_care.py
@@ -59,23 +59,32 @@
             self._woken.notify()
 
     async def run_forever(self) -> None:
-        """Do the pending work and poll the engine at intervals."""
+        """Do the pending work when woken, and poll the engine at intervals."""
+        next_poll_s = self._clock.monotonic_s()
         while True:
-            await self.run_once()
+            wait_s = next_poll_s - self._clock.monotonic_s()
+            if wait_s <= 0:
+                next_poll_s = self._clock.monotonic_s() + ENGINE_POLL_INTERVAL_S
+                await self.run_once()
+                continue
             try:
-                async with asyncio.timeout(ENGINE_POLL_INTERVAL_S):
+                async with asyncio.timeout(wait_s):
                     await self._woken.wait()
             except TimeoutError:
                 continue
+            # Every call's end wakes this loop; a poll each time would double the
+            # requests that the engine answers.
+            await self.run_once(poll=False)
 
-    async def run_once(self) -> None:
-        """Do the pending work and poll the engine once."""
+    async def run_once(self, *, poll: bool = True) -> None:
+        """Do the pending work and, unless told otherwise, poll the engine once."""
         if self._engine is None:
             return
         try:
             await self._release_programs(self._engine)
             await self._repeat_cancels(self._engine)
-            await self._poll(self._engine)
+            if poll:
+                await self._poll(self._engine)
         except LentilroadError as error:
             eliot.log_message(message_type="upstream:engine_silent", code=error.code)
 
