--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -14,10 +14,12 @@
 from aiohttp import web
 
 from lentilroad.adapters.etcd import EtcdKeyValueStore
+from lentilroad.adapters.instance_list import HttpInstanceList
 from lentilroad.clock import Clock, SystemClock
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import PeerServer, start_server
 from lentilroad.errors import UnavailableError
+from lentilroad.membership.leaving import follow_instance_list
 from lentilroad.membership.members import Members
 from lentilroad.membership.program_id import (
     new_program_id,
@@ -27,6 +29,7 @@
 from lentilroad.membership.shards import ShardTable
 from lentilroad.membership.sidecars import SidecarDirectory
 from lentilroad.process.caller_limits import CallerAdmission
+from lentilroad.process.entry_work import sweep_history
 from lentilroad.process.metrics import Metrics
 from lentilroad.process.operator_http import add_operator_routes
 from lentilroad.process.settings import Settings, split_address
@@ -43,6 +46,7 @@
 from lentilroad.request.upstream_choice import UpstreamChoice, noting_load
 from lentilroad.version.distribution import Distribution
 from lentilroad.version.store import ConfigurationStore
+from lentilroad.version.sweep import HistorySweeper
 from lentilroad.version.watch import is_watcher
 from lentilroad.wire import messages as m
 from lentilroad.wire import services
@@ -95,6 +99,7 @@
                 region=settings.region,
                 availability_zone=settings.availability_zone,
                 incarnation=self.incarnation,
+                started_ms=self.incarnation,
             ),
             seeds=settings.seed_entries,
             call=self.connections.call,
@@ -128,7 +133,6 @@
 
     def _build_configuration(self) -> None:
         settings = self.settings
-        self.store = ConfigurationStore(key_value=self.key_value, clock=self.clock)
         self.distribution = Distribution(
             call=self.connections.call,
             clock=self.clock,
@@ -138,9 +142,13 @@
             far_peers=self._far_peers,
             data_folder=settings.data_folder,
             key_value=self.key_value,
-            is_watcher=lambda: is_watcher(
-                settings.address, self.members.alive_entries(settings.region)
-            ),
+            is_watcher=self._is_watcher,
+        )
+        self.store = ConfigurationStore(
+            key_value=self.key_value,
+            clock=self.clock,
+            on_applied=self.distribution.offer,
+            local_part=self.distribution.held_part,
         )
         self.admission = CallerAdmission(
             clock=self.clock,
@@ -221,6 +229,10 @@
 
     # Views of the configuration and the membership
 
+    def _is_watcher(self) -> bool:
+        entries = self.members.alive_entries(self.settings.region)
+        return is_watcher(self.settings.address, entries)
+
     def _region_peers(self) -> list[str]:
         entries = self.members.alive_entries(self.settings.region)
         known = entries if len(entries) > 1 else self.settings.seed_entries
@@ -328,7 +340,23 @@
             self.shard_table.run(),
             self.distribution.run(),
             self.owner.run(),
+            sweep_history(
+                sweeper=HistorySweeper(key_value=self.key_value, clock=self.clock),
+                is_watcher=self._is_watcher,
+                clock=self.clock,
+            ),
         ]
+        if self.settings.instance_list_url is not None:
+            work.append(
+                follow_instance_list(
+                    instance_list=HttpInstanceList(
+                        endpoint=self.settings.instance_list_url
+                    ),
+                    set_leaving=self.directory.set_leaving,
+                    clock=self.clock,
+                    random=self.random,
+                )
+            )
         if self.tls is not None:
             work.append(self.tls.watch(clock=self.clock))
         self._tasks = [asyncio.ensure_future(one) for one in work]
