--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 import eliot
@@ -34,7 +35,7 @@
 from lentilroad.process.operator_http import add_operator_routes
 from lentilroad.process.settings import Settings, split_address
 from lentilroad.process.tls import require_tls_or_loopback, tls_files
-from lentilroad.process.tracing import Tracing
+from lentilroad.process.tracing import Tracing, traced_stream
 from lentilroad.program.owner import ProgramOwner
 from lentilroad.program.preparation import CallPolicy
 from lentilroad.program.standby import ProgramStandby
@@ -196,9 +197,15 @@
             note_success=retry_budget.succeeded,
             note_in_flight=self.choice.note_in_flight,
         )
+        self._run_turn = traced_stream(self.tracing, "owner turn", self.owner.run_turn)
         self.owner_calls = OwnerCalls(
             address=settings.address,
-            local=self.owner,
+            local=SimpleNamespace(
+                open_program=self.owner.open_program,
+                end_program=self.owner.end_program,
+                read_program=self.owner.read_program,
+                run_turn=self._run_turn,
+            ),
             owner_of=self.shard_table.owner_of,
             call=self.connections.call,
             stream=self.connections.stream,
@@ -370,7 +377,7 @@
             services.OPEN_PROGRAM: self.owner.open_program,
             services.END_PROGRAM: self.owner.end_program,
             services.READ_PROGRAM: self.owner.read_program,
-            services.RUN_TURN: self.owner.run_turn,
+            services.RUN_TURN: self._run_turn,
             services.REPLICATE: self._replicate,
             services.GRANT: self.shard_table.grant,
             services.PAIR_HEARTBEAT: self.shard_table.pair_heartbeat,
--- a/lentilroad/process/sidecar.py
+++ b/lentilroad/process/sidecar.py
@@ -22,6 +22,7 @@
 from lentilroad.process.heartbeats import EntryHeartbeats
 from lentilroad.process.settings import Settings, split_address
 from lentilroad.process.tls import require_tls_or_loopback, tls_files
+from lentilroad.process.tracing import Tracing, traced_stream
 from lentilroad.request.concurrency import ConcurrencyLimit
 from lentilroad.request.queue import CallQueue
 from lentilroad.upstream.calls import CallRunner
@@ -29,6 +30,7 @@
 from lentilroad.version.distribution import Distribution
 from lentilroad.version.model import ConfigurationVersion
 from lentilroad.wire.messages import SidecarHeartbeatReply, SidecarRecord
+from lentilroad.wire.services import DISPATCH
 
 _ANNOUNCE_DRAIN_S = 0.2
 _ANSWER_AFTER_DRAIN_S = 2.0
@@ -46,6 +48,7 @@
         heartbeats: EntryHeartbeats,
         tasks: Sequence[asyncio.Future[None]],
         distribution: Distribution,
+        tracing: Tracing,
         connections: PeerConnections,
         upstream: HttpEngine | HttpService,
     ) -> None:
@@ -54,6 +57,7 @@
         self._server = server
         self._http = http
         self.distribution = distribution
+        self._tracing = tracing
         self._tasks = tasks
         self._connections = connections
         self._upstream = upstream
@@ -88,6 +92,7 @@
         await self._connections.close()
         await self._http.cleanup()
         await self._upstream.close()
+        self._tracing.shutdown()
 
 
 async def start_sidecar(
@@ -109,6 +114,7 @@
     concurrency: ConcurrencyLimit | None = None,
     limits: CallLimits | None = None,
     data_folder: Path | None = None,
+    trace_exporter_url: str | None = None,
     on_reply: Callable[[str, SidecarHeartbeatReply], None] | None = None,
 ) -> Sidecar:
     """Start a sidecar in the running event loop.
@@ -143,6 +149,8 @@
         Times after which calls are given up.
     data_folder : Path, optional
         Where the configuration in force is kept over restarts.
+    trace_exporter_url : str, optional
+        URL that receives spans by OTLP over HTTP.
     on_reply : callable, optional
         Called with an entry's address and its reply to a heartbeat.
 
@@ -191,7 +199,9 @@
             on_reply(address, reply)
 
     distribution.on_change(on_version)
+    tracing = Tracing(role="sidecar", otlp_endpoint=trace_exporter_url)
     handlers = {**runner.handlers(), **distribution.handlers()}
+    handlers[DISPATCH] = traced_stream(tracing, "sidecar call", runner.dispatch)
     server = await start_server(handlers, host, port, server_ssl_context)
     record.address = server.address
     runner.start()
@@ -218,6 +228,7 @@
             asyncio.ensure_future(distribution.run()),
         ],
         distribution=distribution,
+        tracing=tracing,
         connections=connections,
         upstream=engine or service,
     )
@@ -308,6 +319,7 @@
         port=port,
         http_port=http_port,
         data_folder=settings.data_folder,
+        trace_exporter_url=settings.observability.trace_exporter_url,
         server_ssl_context=tls.server if tls else None,
         client_ssl_context=tls.client if tls else None,
     )
--- a/lentilroad/process/tracing.py
+++ b/lentilroad/process/tracing.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import AsyncGenerator, Callable, Iterator, Sequence
+from contextlib import aclosing, contextmanager
 from pathlib import Path
+from typing import Any
 
+import msgspec
 from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
@@ -56,7 +58,7 @@
         Part of the traces without a sampled parent that are recorded, 0 to 1.
     """
 
-    __slots__ = ("_enabled", "_provider", "_tracer")
+    __slots__ = ("_provider", "_tracer", "enabled")
 
     def __init__(
         self,
@@ -66,7 +68,7 @@
         span_file: Path | None = None,
         sample_ratio: float = 0.01,
     ) -> None:
-        self._enabled = otlp_endpoint is not None or span_file is not None
+        self.enabled = otlp_endpoint is not None or span_file is not None
         self._provider = TracerProvider(
             resource=Resource.create({"service.name": f"lentilroad-{role}"}),
             sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
@@ -91,12 +93,16 @@
         traceparent : str
             W3C traceparent from the previous hop; empty starts a trace.
         """
-        if not self._enabled:
+        if not self.enabled:
             yield traceparent
             return
         context = _PROPAGATOR.extract({"traceparent": traceparent})
-        with self._tracer.start_as_current_span(name, context=context) as span:
+        # Not made current: streams are closed from other tasks than they start in.
+        span = self._tracer.start_span(name, context=context)
+        try:
             yield _traceparent(span)
+        finally:
+            span.end()
 
     def shutdown(self) -> None:
         """Export what is buffered and stop."""
@@ -107,3 +113,30 @@
     context = span.get_span_context()
     flags = int(context.trace_flags)
     return f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
+
+
+def traced_stream(
+    tracing: Tracing, name: str, handler: Callable[[Any], AsyncGenerator[Any, None]]
+) -> Callable[[Any], AsyncGenerator[Any, None]]:
+    """Return a streaming handler that records a span for each request.
+
+    Parameters
+    ----------
+    tracing : Tracing
+        Spans of this process.
+    name : str
+        Name of the hop.
+    handler : callable
+        Handler of requests with a ``traceparent``, which it passes on.
+    """
+    if not tracing.enabled:
+        return handler
+
+    async def traced(request: Any) -> AsyncGenerator[Any, None]:
+        with tracing.span(name, request.traceparent) as traceparent:
+            request = msgspec.structs.replace(request, traceparent=traceparent)
+            async with aclosing(handler(request)) as replies:
+                async for reply in replies:
+                    yield reply
+
+    return traced
