Enforce callers' grants, default budgets and the token limit of the configuration

Cause: the configuration's callers.models, callers.services, budget and max_tokens_per_turn were checked when applied and then ignored at the front; a program without a budget was unlimited, and an adapter had no price. Change: ConfigurationViews answers these questions from the version in force; it also takes five functions out of process/entry.py. Conclusion: what an operator writes is what callers get.

--- a/lentilroad/process/entry.py
+++ b/lentilroad/process/entry.py
@@ -30,6 +30,7 @@
 from lentilroad.membership.shards import ShardTable
 from lentilroad.membership.sidecars import SidecarDirectory
 from lentilroad.process.caller_limits import CallerAdmission
+from lentilroad.process.configuration_views import ConfigurationViews
 from lentilroad.process.entry_work import sweep_history
 from lentilroad.process.metrics import Metrics
 from lentilroad.process.operator_http import add_operator_routes
@@ -37,7 +38,6 @@
 from lentilroad.process.tls import require_tls_or_loopback, tls_files
 from lentilroad.process.tracing import Tracing, traced_stream
 from lentilroad.program.owner import ProgramOwner
-from lentilroad.program.preparation import CallPolicy
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.request.context import FrontContext
 from lentilroad.request.http import build_application
@@ -151,6 +151,9 @@
             on_applied=self.distribution.offer,
             local_part=self.distribution.held_part,
         )
+        self.views = ConfigurationViews(
+            distribution=self.distribution, region=settings.region
+        )
         self.admission = CallerAdmission(
             clock=self.clock,
             live_entries=lambda: len(self.members.peers()),
@@ -171,7 +174,7 @@
                 availability_zone=settings.availability_zone,
             ),
             directory=self.directory,
-            regions=self._regions,
+            regions=self.views.regions,
             region=settings.region,
             availability_zone=settings.availability_zone,
             clock=self.clock,
@@ -192,7 +195,7 @@
             shard_of=shard_of,
             clock=self.clock,
             random=self.random,
-            policy_of=self._policy_of,
+            policy_of=self.views.policy_of,
             may_retry=retry_budget.try_spend,
             note_success=retry_budget.succeeded,
             note_in_flight=self.choice.note_in_flight,
@@ -262,53 +265,6 @@
         versions[self.settings.address] = self.distribution.version
         return versions | self.directory.config_versions()
 
-    def _regions(self) -> list[str]:
-        current = self.distribution.current
-        if current is None:
-            return [self.settings.region]
-        return list(current.configuration.regions)
-
-    def _find_caller(self, key_sha256: str) -> str | None:
-        current = self.distribution.current
-        if current is None:
-            raise UnavailableError(
-                "no configuration is in force yet; try again", retry_after_ms=500
-            )
-        return current.configuration.caller_of_key(key_sha256)
-
-    def _list_models(self) -> list[str]:
-        current = self.distribution.current
-        if current is None:
-            return []
-        return [*current.configuration.models, *current.configuration.adapters]
-
-    def _has_operation(self, service: str, operation: str) -> bool:
-        current = self.distribution.current
-        if current is None:
-            return False
-        return current.configuration.operation(service, operation) is not None
-
-    def _policy_of(self, request: m.RunTurnRequest) -> CallPolicy:
-        current = self.distribution.current
-        if current is None:
-            return CallPolicy(idempotent=request.kind == "chat")
-        if request.kind == "chat":
-            model = current.configuration.models.get(request.model)
-            if model is None:
-                return CallPolicy(idempotent=True)
-            return CallPolicy(
-                idempotent=True,
-                prompt_token_micro=model.prompt_price_micro_per_1k_tokens / 1000,
-                completion_token_micro=model.completion_price_micro_per_1k_tokens
-                / 1000,
-            )
-        operation = current.configuration.operation(request.service, request.operation)
-        if operation is None:
-            return CallPolicy()
-        return CallPolicy(
-            idempotent=operation.repeatable, price_micro=operation.price_micro
-        )
-
     def _new_program_id(self, parent_program_id: str | None) -> str:
         if parent_program_id is not None:
             shard = shard_of(parent_program_id)
@@ -392,9 +348,11 @@
             clock=self.clock,
             metrics=self.metrics,
             tracing=self.tracing,
-            find_caller=self._find_caller,
-            list_models=self._list_models,
-            has_operation=self._has_operation,
+            find_caller=self.views.find_caller,
+            list_models=self.views.list_models,
+            has_operation=self.views.has_operation,
+            fill_budget=self.views.fill_budget,
+            completion_tokens_max=self.views.completion_tokens_max,
             admit_request=self.admission.admit_request,
             new_program_id=self._new_program_id,
             new_key=lambda: secrets.token_hex(16),
--- a/lentilroad/request/body.py
+++ b/lentilroad/request/body.py
@@ -17,7 +17,6 @@
     BODY_TIMEOUT_S,
     DEFAULT_COMPLETION_TOKENS,
     MAX_BODY_BYTES,
-    MAX_COMPLETION_TOKENS,
     MAX_JSON_DEPTH,
     MAX_MESSAGES,
 )
@@ -178,7 +177,7 @@
     ]
 
 
-def completion_limit(body: ChatBody) -> int:
+def completion_limit(body: ChatBody, maximum: int) -> int:
     """Return the largest number of tokens that the answer may have.
 
     Raises
@@ -186,9 +185,8 @@
     InvalidRequestError
         The requested limit is out of range.
     """
-    limit = body.max_completion_tokens or body.max_tokens or DEFAULT_COMPLETION_TOKENS
-    if not 1 <= limit <= MAX_COMPLETION_TOKENS:
-        raise InvalidRequestError(
-            f"max_tokens is {limit}; use 1 to {MAX_COMPLETION_TOKENS}"
-        )
+    default = min(DEFAULT_COMPLETION_TOKENS, maximum)
+    limit = body.max_completion_tokens or body.max_tokens or default
+    if not 1 <= limit <= maximum:
+        raise InvalidRequestError(f"max_tokens is {limit}; use 1 to {maximum}")
     return limit
--- a/lentilroad/request/chat.py
+++ b/lentilroad/request/chat.py
@@ -67,8 +67,7 @@
 
 async def list_models(request: web.Request) -> web.Response:
     """List the models that the operators' configuration offers."""
-    authenticate(request)
-    models = request.app[CONTEXT].list_models()
+    models = request.app[CONTEXT].list_models(authenticate(request))
     data = [
         {"id": name, "object": "model", "created": 0, "owned_by": "lentilroad"}
         for name in models
@@ -81,10 +80,10 @@
 ) -> tuple[ChatBody, m.RunTurnRequest]:
     context = request.app[CONTEXT]
     body = parse_body(await read_body(request), ChatBody)
-    if body.model not in context.list_models():
+    if body.model not in context.list_models(caller_id):
         raise NotFoundError(f"model {body.model!r} is not offered; see GET /v1/models")
     messages = chat_messages(body)
-    max_tokens = completion_limit(body)
+    max_tokens = completion_limit(body, context.completion_tokens_max())
     characters = sum(len(message.content) for message in messages)
     context.admit_request(caller_id, characters // CHARACTERS_PER_TOKEN + max_tokens)
     program = program_id(request)
--- a/lentilroad/request/context.py
+++ b/lentilroad/request/context.py
@@ -30,6 +30,8 @@
     """Functions and objects with process lifetime that requests need.
 
     ``admit_request(caller_id, tokens)`` raises `RateLimitedError`.
+    ``list_models(caller_id)`` and ``has_operation(caller_id, service, operation)`` say
+    what a caller may use; ``fill_budget(caller_id, budget)`` adds configured limits.
     ``new_program_id(parent)`` returns an id in the parent's shard. The four program
     functions send their message to the program's current owner.
     """
@@ -38,8 +40,10 @@
     metrics: Metrics
     tracing: Tracing
     find_caller: Callable[[str], str | None]
-    list_models: Callable[[], list[str]]
-    has_operation: Callable[[str, str], bool]
+    list_models: Callable[[str], list[str]]
+    has_operation: Callable[[str, str, str], bool]
+    fill_budget: Callable[[str, m.Budget], m.Budget]
+    completion_tokens_max: Callable[[], int]
     admit_request: Callable[[str, int], None]
     new_program_id: Callable[[str | None], str]
     new_key: Callable[[], str]
--- a/lentilroad/request/programs.py
+++ b/lentilroad/request/programs.py
@@ -33,6 +33,9 @@
     context.admit_request(caller_id, 0)
     # A sub-agent is in its root's shard, so that one owner counts their budget.
     new_id = context.new_program_id(body.parent_program_id)
+    budget = body.budget
+    if body.parent_program_id is None:
+        budget = context.fill_budget(caller_id, budget)
     deadline_s = None
     if body.deadline_ms is not None:
         if body.deadline_ms <= 0:
@@ -43,7 +46,7 @@
             caller_id=caller_id,
             program_id=new_id,
             parent_program_id=body.parent_program_id,
-            budget=body.budget,
+            budget=budget,
             deadline_time_s=deadline_s,
         )
     )
@@ -92,7 +95,7 @@
     caller_id = authenticate(request)
     service = request.match_info["service"]
     operation = request.match_info["operation"]
-    if not context.has_operation(service, operation):
+    if not context.has_operation(caller_id, service, operation):
         raise NotFoundError(
             f"operation {service}/{operation} is not offered; check its name"
         )
--- a/tests/fakes/front.py
+++ b/tests/fakes/front.py
@@ -93,10 +93,10 @@
         metrics=Metrics(address=None),
         tracing=Tracing(role="entry"),
         find_caller=hashes.get,
-        list_models=lambda: ["tango"],
-        has_operation=lambda service, operation: (
-            (service, operation) == ("floors", "book")
-        ),
+        list_models=lambda caller_id: ["tango"],
+        has_operation=lambda caller_id, *names: names == ("floors", "book"),
+        fill_budget=lambda caller_id, budget: budget,
+        completion_tokens_max=lambda: 1000,
         admit_request=owner.admit,
         new_program_id=lambda parent: f"{parent or 'p-dakar-0001'}-{next(numbers)}",
         new_key=lambda: f"key{next(numbers):08d}",
--- a/tests/request/test_http.py
+++ b/tests/request/test_http.py
@@ -111,6 +111,11 @@
         (b'{"model":"tango","messages":[]}', 400, "invalid_request"),
         (b'{"model":"other","messages":[]}', 404, "not_found"),
         (b'{"model":"tango","messages":"x"}', 400, "invalid_request"),
+        (
+            b'{"model":"tango","messages":[{"role":"user"}],"max_tokens":1001}',
+            400,
+            "invalid_request",
+        ),
         (b" " * (5 * 1024 * 1024), 413, "request_too_large"),
     ],
 )
