Use one backoff and one percentile, and drop names that nothing uses

Cause: the read-through found a second jittered backoff in the program package, a second nearest-rank percentile in the distribution bench, an operator key checker built for every request, and six unused names. Change: the program package calls request.retry.backoff_s with its own bounds; the bench uses load.results.percentile; the checker is built once for each application. One name that looked unused, faults.schedule.PLANNED, is used by a test and stays. Behaviour and assertions are unchanged.

--- a/lentilroad/bench/distribution.py
+++ b/lentilroad/bench/distribution.py
@@ -33,6 +33,7 @@
 
 from lentilroad.bench.configurations import sized_text
 from lentilroad.bench.fleet import Fleet
+from lentilroad.load.results import percentile
 from lentilroad.standins.virtual_loop import run_virtual
 from lentilroad.version.parts import (
     join_configuration,
@@ -48,12 +49,6 @@
 COLD_TARGET_S = 2.0
 
 
-def percentile(values: Sequence[float], share: float) -> float:
-    """Return the smallest value that at least `share` of the values do not exceed."""
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
-
-
 async def _measure(
     *,
     entry_count: int,
--- a/lentilroad/capacity/turns.py
+++ b/lentilroad/capacity/turns.py
@@ -11,7 +11,7 @@
 from lentilroad.capacity.fit import Slope, fit_slope
 from lentilroad.capacity.measure import encoded_bytes, run_slope
 from lentilroad.clock import SystemClock
-from lentilroad.membership.program_id import shard_name, shard_of
+from lentilroad.membership.program_id import shard_of
 from lentilroad.program.owner import ProgramOwner
 from lentilroad.program.standby import ProgramStandby
 from lentilroad.wire import messages as m
@@ -20,7 +20,6 @@
 OWNER = "10.0.0.1:7400"
 STANDBY = "10.0.0.2:7400"
 SIDECAR = "10.0.0.3:7400"
-SHARD = shard_name("region-1", 1)
 TURNS_PER_PROGRAM = 10
 # A turn of a chat: what a person or tool adds, and the answer.
 PROMPT_TOKENS = 60
--- a/lentilroad/membership/members.py
+++ b/lentilroad/membership/members.py
@@ -54,10 +54,6 @@
     )
 
 
-def _takes_work(record: PeerRecord) -> bool:
-    return record.state in ("alive", "suspect") and not record.draining
-
-
 class Members:
     """Entries by region, kept by probes among them.
 
--- a/lentilroad/process/operator_http.py
+++ b/lentilroad/process/operator_http.py
@@ -9,7 +9,11 @@
 
 from lentilroad.errors import UnauthenticatedError
 from lentilroad.request.responses import json_response
-from lentilroad.version.http import add_routes, operator_key_checker
+from lentilroad.version.http import (
+    CheckOperatorKey,
+    add_routes,
+    operator_key_checker,
+)
 
 if TYPE_CHECKING:
     from lentilroad.process.entry import Entry
@@ -17,7 +21,7 @@
 BEARER = "Bearer "
 
 
-def check_operator_key(request: web.Request, key_sha256: list[str]) -> None:
+def require_operator(request: web.Request, check_key: CheckOperatorKey) -> None:
     """Accept a request with an operator's key.
 
     Raises
@@ -26,15 +30,14 @@
         The key is missing or unknown.
     """
     header = request.headers.get("Authorization", "")
-    check = operator_key_checker(key_sha256)
-    if header.startswith(BEARER) and check(header.removeprefix(BEARER)):
+    if header.startswith(BEARER) and check_key(header.removeprefix(BEARER)):
         return
     raise UnauthenticatedError("send 'Authorization: Bearer <operator key>'")
 
 
 def add_operator_routes(application: web.Application, *, entry: Entry) -> None:
     """Add health and operator routes to an entry's application."""
-    key_sha256 = entry.settings.operator_key_sha256
+    check_key = operator_key_checker(entry.settings.operator_key_sha256)
 
     async def healthz(request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
@@ -45,15 +48,15 @@
         return web.Response(text="ok\n")
 
     async def status(request: web.Request) -> web.Response:
-        check_operator_key(request, key_sha256)
+        require_operator(request, check_key)
         return json_response(entry_status(entry))
 
     async def programs(request: web.Request) -> web.Response:
-        check_operator_key(request, key_sha256)
+        require_operator(request, check_key)
         return json_response({"programs": entry.owner.list_programs()})
 
     async def drain(request: web.Request) -> web.Response:
-        check_operator_key(request, key_sha256)
+        require_operator(request, check_key)
         entry.drain_task = asyncio.ensure_future(entry.drain())
         return json_response({"draining": entry.settings.address}, status=202)
 
@@ -70,7 +73,7 @@
         application,
         entry.store,
         entry.distribution,
-        operator_key_checker(key_sha256),
+        check_key,
         reported_versions=entry.reported_versions,
     )
 
--- a/lentilroad/program/replication.py
+++ b/lentilroad/program/replication.py
@@ -95,11 +95,6 @@
         self._task: asyncio.Task[None] | None = None
         self._closed = False
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing waits for the standby."""
-        return not self._pending
-
     def has_copy(self, program_id: str) -> bool:
         """Whether the current standby has the program in full."""
         self._note_pair()
--- a/lentilroad/program/sidecar_calls.py
+++ b/lentilroad/program/sidecar_calls.py
@@ -17,6 +17,7 @@
 )
 from lentilroad.program import const
 from lentilroad.program.replication import Call
+from lentilroad.request import retry
 from lentilroad.wire.convert import from_wire_error
 from lentilroad.wire.messages import (
     DispatchEvent,
@@ -53,8 +54,12 @@
 
 def backoff_s(attempt: int, random: Random) -> float:
     """Return a random delay below an exponential limit, in seconds."""
-    limit_s = const.BACKOFF_BASE_S * 2.0 ** min(attempt, 20)
-    return random.uniform(0.0, min(const.BACKOFF_LIMIT_S, limit_s))
+    return retry.backoff_s(
+        attempt=attempt,
+        random=random,
+        base_s=const.BACKOFF_BASE_S,
+        cap_s=const.BACKOFF_LIMIT_S,
+    )
 
 
 class SidecarCalls:
--- a/lentilroad/request/http_const.py
+++ b/lentilroad/request/http_const.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 HEADER_PROGRAM_ID = "Lentilroad-Program-Id"
-HEADER_PARENT_PROGRAM_ID = "Lentilroad-Parent-Program-Id"
 HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
 HEADER_DEADLINE_MS = "Lentilroad-Deadline-Ms"
 HEADER_HISTORY = "Lentilroad-History"
@@ -14,7 +13,6 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_JSON_DEPTH = 32
-MAX_HEADER_BYTES = 16 * 1024
 MAX_MESSAGES = 4096
 DEFAULT_COMPLETION_TOKENS = 256
 MAX_KEY_CHARACTERS = 200
