--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -16,6 +16,8 @@
     READ_HEDGE_AFTER_S,
     READ_TIMEOUT_S,
     RESERVE_TIMEOUT_S,
+    RESERVE_TRIES,
+    RETRY_AFTER_MS,
     WRITE_HEDGE_AFTER_S,
     WRITE_TIMEOUT_S,
 )
@@ -171,6 +173,21 @@
         UnavailableError
             No quorum answered in time.
         """
+        for _ in range(RESERVE_TRIES):
+            version = self._known.version
+            try:
+                return await self._reserve_once(program_id, grant)
+            except UnavailableError:
+                # A newer list of members may have been learned meanwhile.
+                if self._probing is not None:
+                    await self._probing
+                if self._known.version == version:
+                    raise
+        return await self._reserve_once(program_id, grant)
+
+    async def _reserve_once(
+        self, program_id: str, grant: Grant | None
+    ) -> tuple[list[Grant], bool]:
         known = self._known
         slots = program_slots(known.listed, program_id, losses=self._losses)
         quorum = len(slots) // 2 + 1
@@ -196,7 +213,8 @@
                 if answered < quorum and (left_s <= 0 or not calls.open()):
                     raise UnavailableError(
                         f"{answered} of {quorum} storage members answered for the "
-                        "budget; send the turn again"
+                        "budget; send the turn again",
+                        retry_after_ms=RETRY_AFTER_MS,
                     )
         confirmed = all(
             found.tokens <= found.confirmed_tokens
@@ -282,14 +300,14 @@
                 waiting = []
                 if left_s <= 0 or not calls.open():
                     break
-        # A stored turn lies on one disk more than may be lost, so it cannot be on the
-        # members that did not answer alone.
-        unheard = len(candidates) - len(absent)
-        if candidates and unheard <= self._losses:
+        # While copies of a lost disk are being restored, any member may hold the only
+        # one, so every member has to deny it.
+        if candidates and len(absent) == len(candidates):
             raise NotFoundError(f"turn {turn_id} does not exist; start a new chain")
         raise UnavailableError(
             f"{len(absent)} of {len(candidates)} storage members answered for turn "
-            f"{turn_id}; send the turn again"
+            f"{turn_id}; send the turn again",
+            retry_after_ms=RETRY_AFTER_MS,
         )
 
     def _suspect(self, member: Member, error: BaseException) -> None:
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -35,3 +35,7 @@
 MEMBER_PROBE_TIMEOUT_S = 0.6
 PULL_BATCH_BYTES = 256 * 1024
 PULL_TIMEOUT_S = 4.0
+# Tries of a reservation whose list of members turned out to be old.
+RESERVE_TRIES = 2
+# When a caller comes back after too few members answered.
+RETRY_AFTER_MS = 200
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -141,6 +141,8 @@
         self._known = MemberMap(version=0, listed=MemberList())
         self._started_s = clock.monotonic_s()
         self._lost_disk_id = ""
+        # Disks that were read since this one took its place.
+        self._pulled: set[str] = set()
         self._silent_since_s: dict[str, float] = {}
         self.retiring = False
 
@@ -151,18 +153,17 @@
             self._on_map(known)
 
     async def run(self) -> None:
-        """Join, catch up, and take over the slot of a member that is gone."""
+        """Join, catch up, and take over the place of a member that is gone."""
         await self._until_done(self._join)
-        if not self._replica.complete:
-            await self._until_done(self._catch_up)
+        reported = ""
         while True:
-            await self._clock.sleep(JOIN_RETRY_S)
-            if self.retiring:
-                continue
             try:
-                await self._take_free_slot()
+                await self._keep_place()
             except (LentilroadError, TimeoutError) as error:
-                log_event("storage_slot_failed", error=str(error))
+                if str(error) != reported:
+                    reported = str(error)
+                    log_event("storage_step_failed", error=reported)
+            await self._clock.sleep(JOIN_RETRY_S)
 
     async def retire(self) -> None:
         """Copy everything to other members and leave the list."""
@@ -221,26 +222,53 @@
             await self._replica.mark_complete()
         return True
 
+    async def _keep_place(self) -> None:
+        if self.retiring:
+            return
+        present = self._known.listed.find(self._replica.disk_id)
+        if present is None:
+            # Another instance took the place while this one did not answer.
+            self._member = _in_slot(self._member, None)
+            await self._join()
+            return
+        self._member = present
+        if not self._replica.complete:
+            if not await self._catch_up():
+                await self._replace_silent()
+            return
+        if present.slot is not None:
+            return
+        if free_slot(self._known.listed) is not None:
+            await self._take_place([])
+            return
+        await self._replace_silent()
+
     async def _catch_up(self) -> bool:
-        """Copy what the disk should hold from all other members."""
-        known = await self._map_store.read()
-        self.note_map(known)
-        others = [m for m in known.listed.members if m.disk_id != self._replica.disk_id]
+        """Copy what the disk should hold from all other members.
+
+        A member is read once: turns that are written after this disk joined lie on
+        enough disks without it.
+        """
+        known = self._known
+        others = [m for m in self._others() if m.disk_id not in self._pulled]
         started_s = self._clock.monotonic_s()
         results = await asyncio.gather(
             *(self._pull(member, known.version) for member in others),
             return_exceptions=True,
         )
-        failed = [
-            member.node
-            for member, result in zip(others, results, strict=True)
-            if isinstance(result, BaseException)
-        ]
+        failed = []
+        for member, result in zip(others, results, strict=True):
+            if isinstance(result, BaseException):
+                failed.append(member.node)
+            else:
+                self._pulled.add(member.disk_id)
         # A turn lies on one disk more than may be lost at once. Besides the replaced
         # one, that many less one may be missing.
         if len(failed) > max(0, self._losses - 1):
             log_event("storage_catch_up_failed", members=failed)
             return False
+        if self._known.version != known.version:
+            return False
         await self._replica.mark_complete()
         log_event(
             "storage_caught_up",
@@ -260,48 +288,59 @@
             if batch.ledgers:
                 await self._replica.put_ledgers(PutLedgers(ledgers=batch.ledgers))
 
-    async def _take_free_slot(self) -> None:
-        known = self._known
-        present = known.listed.find(self._replica.disk_id)
-        if present is None:
-            # Another instance took the place while this one did not answer.
-            self._member = _in_slot(self._member, None)
-            await self._until_done(self._join)
-            return
-        self._member = present
-        if present.slot is not None or not self._replica.complete:
+    async def _replace_silent(self) -> None:
+        """Take over from members that have not answered for some time.
+
+        One that was only cut off finds itself left out and joins again with its disk.
+        """
+        others = self._others()
+        now_s = self._clock.monotonic_s()
+        answers = await asyncio.gather(*(self._answers(member) for member in others))
+        silent = []
+        for member, answered in zip(others, answers, strict=True):
+            if answered:
+                self._silent_since_s.pop(member.disk_id, None)
+                continue
+            silent.append(member)
+            self._silent_since_s.setdefault(member.disk_id, now_s)
+        # More silent members than may be lost mean that this instance is cut off.
+        if len(silent) > self._losses:
             return
-        slot = free_slot(known.listed)
-        lost = ""
+        gone = [
+            member
+            for member in silent
+            if now_s - self._silent_since_s[member.disk_id] >= MEMBER_REPLACE_AFTER_S
+        ]
+        if gone:
+            await self._take_place(gone)
+
+    async def _take_place(self, gone: list[Member]) -> None:
+        known = self._known
         listed = known.listed
-        if slot is None:
-            gone = await self._find_gone(listed)
-            if gone is None:
-                return
-            slot, lost = gone.slot, gone.disk_id
-            listed = without(listed, gone.disk_id)
-        joined = _in_slot(self._member, slot)
-        self._replica.complete = False
-        self._lost_disk_id = lost
+        for member in gone:
+            listed = without(listed, member.disk_id)
+        slot = self._member.slot
+        joined = _in_slot(self._member, free_slot(listed) if slot is None else slot)
         listed = with_member(listed, joined)
         version = await self._map_store.write(listed, known.version)
+        self._replica.complete = False
+        self._pulled.clear()
+        self._lost_disk_id = gone[0].disk_id if gone else ""
         self._member = joined
         self.note_map(MemberMap(version=version, listed=listed))
-        log_event("storage_slot_taken", slot=slot, replaces=lost, version=version)
-        await self._until_done(self._catch_up)
+        log_event(
+            "storage_place_taken",
+            slot=joined.slot,
+            replaces=[member.node for member in gone],
+            version=version,
+        )
 
-    async def _find_gone(self, listed: MemberList) -> Member | None:
-        now_s = self._clock.monotonic_s()
-        for member in listed.members:
-            if member.slot is None or member.disk_id == self._replica.disk_id:
-                continue
-            if await self._answers(member):
-                self._silent_since_s.pop(member.disk_id, None)
-                continue
-            since_s = self._silent_since_s.setdefault(member.disk_id, now_s)
-            if now_s - since_s >= MEMBER_REPLACE_AFTER_S:
-                return member
-        return None
+    def _others(self) -> list[Member]:
+        return [
+            member
+            for member in self._known.listed.members
+            if member.disk_id != self._replica.disk_id
+        ]
 
     async def _answers(self, member: Member) -> bool:
         try:
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -25,7 +25,7 @@
     instance_id : str
         Upstream instance that ran it.
     holders : list of str
-        Disks that the record was sent to.
+        Disks that the record may have been sent to; some may not have it.
     written_s : float
         Unix time of the write, in seconds.
     """
@@ -117,6 +117,18 @@
     touched_s: float = 0.0
 
 
+class WhichTurns(Message):
+    """Ask which of some turns lie on a disk."""
+
+    turn_ids: list[str]
+
+
+class HeldTurns(Message):
+    """Turns that lie on the disk, out of those asked for."""
+
+    turn_ids: list[str]
+
+
 class PullRequest(Message):
     """Ask for what a replaced disk held.
 
@@ -167,6 +179,11 @@
 RESERVE = Method(
     path="/lentilroad.Storage/Reserve", request_type=Reserve, reply_type=Ledger
 )
+WHICH_TURNS = Method(
+    path="/lentilroad.Storage/WhichTurns",
+    request_type=WhichTurns,
+    reply_type=HeldTurns,
+)
 PULL = Method(
     path="/lentilroad.Storage/Pull",
     request_type=PullRequest,
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -19,6 +19,7 @@
 from lentilroad.conversation.messages import (
     Chain,
     Grant,
+    HeldTurns,
     Ledger,
     ProbeReply,
     ProbeRequest,
@@ -30,6 +31,7 @@
     Reserve,
     Stored,
     TurnRecord,
+    WhichTurns,
 )
 from lentilroad.errors import LentilroadError
 from lentilroad.process.events import log_event
@@ -267,6 +269,12 @@
             self._merge_ledger(ledger, segment, 0.0)
         return Stored(disk_id=self.disk_id)
 
+    async def which_turns(self, request: WhichTurns) -> HeldTurns:
+        """Tell which turns lie on this disk."""
+        return HeldTurns(
+            turn_ids=[turn for turn in request.turn_ids if turn in self._turns]
+        )
+
     async def probe(self, request: ProbeRequest) -> ProbeReply:
         """Tell that the process runs."""
         version, members = self._members()
--- a/lentilroad/platform/metadata.py
+++ b/lentilroad/platform/metadata.py
@@ -259,11 +259,11 @@
                 listing = await client.read_prefix(prefix)
                 revision = listing.revision
                 on_listing(listing)
+            changes, revision = await client.watch(prefix, revision)
             if lost_at_s is not None:
                 away_s = clock.monotonic_s() - lost_at_s
                 log_event("metadata_regained", prefix=prefix, away_s=round(away_s, 3))
                 lost_at_s = None
-            changes, revision = await client.watch(prefix, revision)
             delay_s = RETRY_FIRST_S
             for change in changes:
                 on_change(change)
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -86,7 +86,7 @@
 
 
 def decode_settings(document: dict[str, Any]) -> ProcessSettings:
-    """Decode a parsed settings file; raises `ConfigurationError` with the key's path."""
+    """Decode a parsed settings file; raises `ConfigurationError`."""
     ports = _value(document, "InternalPortRange", list)
     if len(ports) != 2 or not all(type(port) is int for port in ports):
         raise _wrong("InternalPortRange", ports, "two port numbers, first and last")
--- a/lentilroad/process/events.py
+++ b/lentilroad/process/events.py
@@ -5,6 +5,7 @@
 import fcntl
 import os
 import sys
+import time
 from collections import deque
 from typing import Any
 
@@ -92,4 +93,4 @@
     **fields : Any
         Inputs of the decision, their age or version, and its outcome.
     """
-    eliot.Logger().write({"event": event, **fields})
+    eliot.Logger().write({"time_s": round(time.time(), 3), "event": event, **fields})
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -71,6 +71,8 @@
     refusals: int = 0
     instance_id: str = ""
     held: UpstreamState | None = None
+    # Whether bytes of an answer were written; nothing else may follow them.
+    started: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -139,6 +141,7 @@
         self, request: web.BaseRequest, began_s: float
     ) -> web.StreamResponse:
         request_id = ""
+        exchange: _Exchange | None = None
         try:
             table = self._table()
             if table is None:
@@ -154,6 +157,8 @@
             exchange = self._route(table, inbound, request, began_s)
             return await self._serve(exchange)
         except LentilroadError as error:
+            if exchange is not None and exchange.started:
+                await self._break_off(exchange, error)
             return self._refuse(request, request_id, error, began_s)
         except HttpProcessingError as error:
             return self._refuse(
@@ -400,49 +405,42 @@
         if self._stopping():
             response.force_close()
         response.enable_chunked_encoding()
-        started = False
-        try:
-            while chunk := await connection.next_chunk():
-                if not started:
-                    self._telemetry.observe(
-                        "first_event_s", self._clock.monotonic_s() - exchange.began_s
-                    )
-                    await response.prepare(exchange.request)
-                    started = True
-                if turn is not None:
-                    turn.feed(chunk)
-                await response.write(chunk)
-            if not started:
+        while chunk := await connection.next_chunk():
+            if not exchange.started:
+                self._telemetry.observe(
+                    "first_event_s", self._clock.monotonic_s() - exchange.began_s
+                )
+                exchange.started = True
                 await response.prepare(exchange.request)
-                started = True
-            # The instance is done; the caller alone waits for the turn's record.
-            self._release(exchange)
             if turn is not None:
-                await turn.store(exchange.instance_id)
-        except (LentilroadError, TimeoutError) as error:
-            if not started:
-                raise
-            log_event(
-                "stream_broken_off",
-                request=exchange.inbound.request_id,
-                instance=exchange.instance_id,
-                error=str(error) or type(error).__name__,
-                elapsed_ms=self._elapsed_ms(exchange.began_s),
-            )
-            self._telemetry.count("streams_broken_off")
-            await _cut_off(exchange.request)
-        except asyncio.CancelledError:
-            if started and exchange.due_s <= self._clock.monotonic_s():
-                log_event(
-                    "stream_timed_out",
-                    request=exchange.inbound.request_id,
-                    instance=exchange.instance_id,
-                )
-                _abort(exchange.request)
-            raise
+                turn.feed(chunk)
+            await response.write(chunk)
+        if not exchange.started:
+            exchange.started = True
+            await response.prepare(exchange.request)
+        # The instance is done; the caller alone waits for the turn's record.
+        self._release(exchange)
+        if turn is not None:
+            await turn.store(exchange.instance_id)
         await response.write_eof()
         return response
 
+    async def _break_off(self, exchange: _Exchange, error: LentilroadError) -> None:
+        """Close the caller's connection so that the answer does not look complete."""
+        log_event(
+            "stream_broken_off",
+            request=exchange.inbound.request_id,
+            instance=exchange.instance_id,
+            code=error.code,
+            reason=error.message,
+            elapsed_ms=self._elapsed_ms(exchange.began_s),
+        )
+        self._telemetry.count("streams_broken_off")
+        if exchange.request.transport is not None:
+            exchange.request.transport.abort()
+        # The lost connection cancels this handler.
+        await asyncio.Event().wait()
+
     def _rank(self, exchange: _Exchange) -> tuple[float, ...]:
         new_program = 0.0 if exchange.inbound.previous_turn_id else 1.0
         finish_s = exchange.inbound.finish_s
@@ -551,15 +549,3 @@
                 f"the body is larger than {most_bytes} bytes; send a smaller one"
             )
     return bytes(body)
-
-
-def _abort(request: web.BaseRequest) -> None:
-    if request.transport is not None:
-        request.transport.abort()
-
-
-async def _cut_off(request: web.BaseRequest) -> None:
-    """Close the caller's connection so that the answer does not look complete."""
-    _abort(request)
-    # The lost connection cancels this handler.
-    await asyncio.Event().wait()
