Ask the other disks which turns they hold before a disk is emptied

Ruled out: expiry and the catch-up of the added disk; the log of stored turns shows both copies at the retired and at the wiped disk.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -137,6 +137,12 @@
                         f"{record.turn_id}; send the turn again",
                         outcome="unknown",
                     )
+        log_event(
+            "turn_recorded",
+            request=record.turn_id,
+            disks=sorted(stored),
+            map_version=self._known.version,
+        )
 
     async def read_chain(self, turn_id: str, *, key: str) -> list[TurnRecord]:
         """Return a turn and all turns before it, newest first.
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -30,21 +30,25 @@
     PULL,
     PUT_LEDGERS,
     PUT_TURNS,
+    WHICH_TURNS,
     ProbeReply,
     ProbeRequest,
     PullRequest,
     PutLedgers,
     PutTurns,
     TurnRecord,
+    WhichTurns,
 )
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import LentilroadError
-from lentilroad.membership.rendezvous import score
+from lentilroad.membership.rendezvous import rank
 from lentilroad.process.events import log_event
 
 # Members of the first start take slots only while the deployment forms.
 FORMING_S = 8.0
 DISK_FILE = "disk-id"
+PUSH_BATCH_TURNS = 50
+PUSH_BATCH_LEDGERS = 200
 
 Call = Callable[..., Awaitable[Any]]
 
@@ -355,29 +359,48 @@
         known = await self._map_store.read()
         self.note_map(known)
         others = [m for m in known.listed.members if m.disk_id != self._replica.disk_id]
-        await asyncio.gather(*(self._push(member, others) for member in others))
+        turns = {record.turn_id: record for record in self._replica.turns()}
+        request = WhichTurns(turn_ids=list(turns))
+        replies = await asyncio.gather(
+            *(
+                self._call(m.address, WHICH_TURNS, request, timeout_s=PULL_TIMEOUT_S)
+                for m in others
+            )
+        )
+        copies: dict[str, set[str]] = {turn_id: set() for turn_id in turns}
+        for member, reply in zip(others, replies, strict=True):
+            for turn_id in reply.turn_ids:
+                copies[turn_id].add(member.disk_id)
+        disks = [member.disk_id for member in others]
+        targets = {
+            turn_id: _new_holders(turn_id, held, disks, self._losses + 1)
+            for turn_id, held in copies.items()
+        }
+        await asyncio.gather(
+            *(
+                self._push(
+                    member,
+                    [turns[t] for t, to in targets.items() if member.disk_id in to],
+                )
+                for member in others
+            )
+        )
         return True
 
-    async def _push(self, member: Member, others: list[Member]) -> None:
-        listed = {other.disk_id for other in others}
-        turns = [
-            record
-            for record in self._replica.turns()
-            if _needs_copy_at(record, member, others, listed, self._losses)
-        ]
-        for start in range(0, len(turns), 50):
+    async def _push(self, member: Member, turns: list[TurnRecord]) -> None:
+        for start in range(0, len(turns), PUSH_BATCH_TURNS):
             await self._call(
                 member.address,
                 PUT_TURNS,
-                PutTurns(turns=turns[start : start + 50]),
+                PutTurns(turns=turns[start : start + PUSH_BATCH_TURNS]),
                 timeout_s=PULL_TIMEOUT_S,
             )
         ledgers = self._replica.ledgers()
-        for start in range(0, len(ledgers), 200):
+        for start in range(0, len(ledgers), PUSH_BATCH_LEDGERS):
             await self._call(
                 member.address,
                 PUT_LEDGERS,
-                PutLedgers(ledgers=ledgers[start : start + 200]),
+                PutLedgers(ledgers=ledgers[start : start + PUSH_BATCH_LEDGERS]),
                 timeout_s=PULL_TIMEOUT_S,
             )
 
@@ -391,22 +414,13 @@
         return True
 
 
-def _needs_copy_at(
-    record: TurnRecord,
-    member: Member,
-    others: list[Member],
-    listed: set[str],
-    losses: int,
-) -> bool:
-    held = [disk for disk in record.holders if disk in listed]
-    missing = losses + 1 - len(held)
-    if missing <= 0 or member.disk_id in held:
-        return False
-    candidates = sorted(
-        (m.disk_id for m in others if m.disk_id not in held),
-        key=lambda disk_id: score(record.turn_id, disk_id),
-    )
-    return member.disk_id in candidates[:missing]
+def _new_holders(
+    turn_id: str, held: set[str], disks: list[str], copies: int
+) -> list[str]:
+    """Return the disks that get a copy, so that `copies` of them hold the turn."""
+    missing = max(0, copies - len(held))
+    candidates = [disk for disk in disks if disk not in held]
+    return rank(turn_id, candidates)[:missing]
 
 
 def _in_slot(member: Member, slot: int | None) -> Member:
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -178,6 +178,13 @@
         )
         for record, segment in zip(request.turns, segments, strict=True):
             self._hold_turn(record, segment, max(0.0, now_s - record.written_s))
+            log_event(
+                "turn_stored",
+                request=record.turn_id,
+                previous=record.previous_id,
+                segment=segment,
+                complete_disk=self.complete,
+            )
         return Stored(disk_id=self.disk_id)
 
     async def read_chain(self, request: ReadChain) -> Chain:
--- a/lentilroad/platform/roles.py
+++ b/lentilroad/platform/roles.py
@@ -31,6 +31,7 @@
     PUT_TURNS,
     READ_CHAIN,
     RESERVE,
+    WHICH_TURNS,
 )
 from lentilroad.conversation.replica import Replica
 from lentilroad.conversation.turns import Turns
@@ -211,6 +212,7 @@
             RESERVE: replica.reserve,
             PULL: replica.pull,
             PUT_LEDGERS: replica.put_ledgers,
+            WHICH_TURNS: replica.which_turns,
             PROBE: replica.probe,
         },
         settings.ip,
