--- a/lentilroad/process/gateway.py
+++ b/lentilroad/process/gateway.py
@@ -103,10 +103,17 @@
     await clock.sleep(min(LISTEN_AFTER_STOP_S, grace_s / 2))
     for site in list(runner.sites):
         await site.stop()
+    # Connections finish the request that they have read and take no other one.
+    runner.server.pre_shutdown()
     while clock.monotonic_s() - stopped_s < grace_s - STOP_MARGIN_S:
-        if ingress.open_requests == 0:
-            break
+        # A request that was read in the moment before is busy after this wait.
         await clock.sleep(STOP_POLL_S)
+        connections = list(runner.server.connections)
+        for connection in connections:
+            if connection not in ingress.busy_connections:
+                connection.force_close()
+        if not connections and ingress.open_requests == 0:
+            break
     log_event(
         "stopped",
         open_requests=ingress.open_requests,
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -127,15 +127,18 @@
         self._stopping = stopping
         self._random = random.Random()
         self.open_requests = 0
+        self.busy_connections: set[object] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.open_requests += 1
+        self.busy_connections.add(request.protocol)
         began_s = self._clock.monotonic_s()
         try:
             return await self._answer(request, began_s)
         finally:
             self.open_requests -= 1
+            self.busy_connections.discard(request.protocol)
 
     async def _answer(
         self, request: web.BaseRequest, began_s: float
