--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -12,7 +12,6 @@
 from lentilroad.clock import Clock
 from lentilroad.conversation.const import (
     MEMBER_PROBE_TIMEOUT_S,
-    MEMBER_SUSPECT_S,
     READ_HEDGE_AFTER_S,
     READ_TIMEOUT_S,
     RESERVE_TIMEOUT_S,
@@ -50,6 +49,9 @@
 
 Call = Callable[..., Awaitable[Any]]
 
+# Errors of members that do answer.
+_ANSWERED = frozenset(("stale_storage_map", "storage_not_caught_up"))
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Place:
@@ -80,7 +82,8 @@
         self._place = place
         self._losses = losses
         self._known = MemberMap(version=0, listed=MemberList())
-        self._suspect_until_s: dict[str, float] = {}
+        # Members that failed a call and have not answered a probe since.
+        self._down: set[str] = set()
         self._probing: asyncio.Task[None] | None = None
 
     def note_map(self, known: MemberMap) -> None:
@@ -93,9 +96,29 @@
                 members=[m.node for m in known.listed.members],
             )
 
-    def members_known(self) -> bool:
-        """Return whether enough members are known to store a turn."""
-        return len(self._known.listed.members) > self._losses
+    def available(self) -> bool:
+        """Return whether enough members answer to keep turns and budgets."""
+        members = self._known.listed.members
+        answering = sum(1 for member in members if member.disk_id not in self._down)
+        return answering >= max(self._losses + 1, len(members) - self._losses)
+
+    async def probe_down_members(self) -> None:
+        """Ask the members that failed whether they answer again."""
+        down = [m for m in self._known.listed.members if m.disk_id in self._down]
+        self._down.intersection_update(member.disk_id for member in down)
+        await asyncio.gather(*(self._probe(member) for member in down))
+
+    async def _probe(self, member: Member) -> None:
+        try:
+            reply: ProbeReply = await self._call(
+                member.address, PROBE, ProbeRequest(), timeout_s=MEMBER_PROBE_TIMEOUT_S
+            )
+        except (LentilroadError, TimeoutError):
+            # It stays down; the failure that put it there was logged.
+            return
+        if not reply.stalled:
+            self._down.discard(member.disk_id)
+            log_event("storage_member_regained", member=member.node)
 
     async def put_turn(self, record: TurnRecord, *, key: str) -> None:
         """Store a turn on one disk more than may be lost at once.
@@ -198,6 +221,13 @@
         slots = program_slots(known.listed, program_id, losses=self._losses)
         quorum = len(slots) // 2 + 1
         members = program_members(known.listed, program_id, losses=self._losses)
+        up = [member for member in members if member.disk_id not in self._down]
+        if len(up) < quorum:
+            raise UnavailableError(
+                f"{len(up)} of {quorum} storage members answer; send the turn again, "
+                "it reaches another entry",
+                retry_after_ms=0,
+            )
         request = Reserve(program_id=program_id, map_version=known.version, grant=grant)
         merged: dict[str, Grant] = {}
         answered = 0
@@ -239,16 +269,14 @@
         await asyncio.gather(*(self._reserve(member, request) for member in members))
 
     def _nearest(self, key: str) -> list[Member]:
-        now_s = self._clock.monotonic_s()
-
         def order(member: Member) -> tuple[bool, int, int]:
-            suspect = self._suspect_until_s.get(member.disk_id, 0.0) > now_s
+            down = member.disk_id in self._down
             distance = 2
             if member.availability_zone == self._place.availability_zone:
                 distance = 0
             elif member.region == self._place.region:
                 distance = 1
-            return suspect, distance, score(key, member.disk_id)
+            return down, distance, score(key, member.disk_id)
 
         return _spread(sorted(self._known.listed.members, key=order))
 
@@ -317,16 +345,16 @@
         )
 
     def _suspect(self, member: Member, error: BaseException) -> None:
-        now_s = self._clock.monotonic_s()
-        if self._suspect_until_s.get(member.disk_id, 0.0) <= now_s:
+        code = getattr(error, "code", "")
+        if code not in _ANSWERED and member.disk_id not in self._down:
+            self._down.add(member.disk_id)
             log_event(
-                "storage_member_failed",
+                "storage_member_lost",
                 member=member.node,
-                error=str(error),
+                error=str(error) or type(error).__name__,
                 map_version=self._known.version,
             )
-        self._suspect_until_s[member.disk_id] = now_s + MEMBER_SUSPECT_S
-        if getattr(error, "code", "") == "stale_storage_map" and (
+        if code == "stale_storage_map" and (
             self._probing is None or self._probing.done()
         ):
             self._probing = asyncio.create_task(self._learn_members(member))
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -13,12 +13,14 @@
 SWEEP_INTERVAL_S = 5.0
 # In-region calls take 1 to 5 ms, calls to another region 25 ms.
 READ_HEDGE_AFTER_S = 0.08
-READ_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 0.6
 WRITE_HEDGE_AFTER_S = 0.15
-WRITE_TIMEOUT_S = 1.5
-RESERVE_TIMEOUT_S = 1.0
-# A member that failed is asked last for this long.
-MEMBER_SUSPECT_S = 1.5
+WRITE_TIMEOUT_S = 1.0
+RESERVE_TIMEOUT_S = 0.5
+# Members that failed a call are asked again at this interval.
+MEMBER_PROBE_INTERVAL_S = 0.2
+# A sync takes 1 ms; a disk that holds one for longer counts as failed.
+DISK_STALL_S = 0.3
 # Idle grants of a program are handed back after this time.
 GRANT_IDLE_S = 1.5
 # A program whose budget is below this share is given tokens turn by turn.
--- a/lentilroad/conversation/journal.py
+++ b/lentilroad/conversation/journal.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from lentilroad.clock import Clock
 from lentilroad.errors import LentilroadError
 from lentilroad.process.events import log_event
 
@@ -38,12 +39,15 @@
         Folder of the segments; it is created.
     segment_bytes : int
         Size after which the next segment is begun.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, *, folder: Path, segment_bytes: int) -> None:
+    def __init__(self, *, folder: Path, segment_bytes: int, clock: Clock) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._segment_bytes = segment_bytes
+        self._clock = clock
         numbers = [number for number, _ in self._segments()]
         self._number = max(numbers, default=0)
         self._file = -1
@@ -52,6 +56,8 @@
             tuple[bytes, asyncio.Future[int], asyncio.AbstractEventLoop]
         ] = deque()
         self._wake = threading.Condition()
+        # Monotonic time since which the thread writes; None while it is idle.
+        self._writing_since_s: float | None = None
         self._stopped = False
         self._thread: threading.Thread | None = None
 
@@ -92,6 +98,11 @@
             self._wake.notify()
         return await future
 
+    def waiting_s(self) -> float:
+        """Return for how long the disk has held the write under way."""
+        since_s = self._writing_since_s
+        return 0.0 if since_s is None else self._clock.monotonic_s() - since_s
+
     def remove_before(self, number: int) -> int:
         """Remove segments before `number`; returns how many there were."""
         removed = 0
@@ -134,11 +145,13 @@
                 batch = list(self._waiting)
                 self._waiting.clear()
             error: OSError | None = None
+            self._writing_since_s = self._clock.monotonic_s()
             try:
                 self._write([payload for payload, _, _ in batch])
             except OSError as failed:
                 error = failed
                 self._close_file()
+            self._writing_since_s = None
             for _, future, loop in batch:
                 _post(loop, _settle(future, self._number, error))
 
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -162,12 +162,19 @@
 
 
 class ProbeReply(Message):
-    """State of a storage process."""
+    """State of a storage process.
+
+    Attributes
+    ----------
+    stalled : bool
+        Whether the disk holds up writes.
+    """
 
     disk_id: str
     complete_disk: bool
     map_version: int = 0
     members: bytes = b""
+    stalled: bool = False
 
 
 PUT_TURNS = Method(
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -11,6 +11,7 @@
 from lentilroad.clock import Clock
 from lentilroad.conversation.const import (
     DISK_SHARE,
+    DISK_STALL_S,
     LEDGER_RETENTION_S,
     PULL_BATCH_BYTES,
     RETENTION_MARGIN_S,
@@ -290,6 +291,7 @@
             complete_disk=self.complete,
             map_version=version,
             members=members,
+            stalled=self._journal.waiting_s() > DISK_STALL_S,
         )
 
     def turns(self) -> list[TurnRecord]:
--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -13,6 +13,8 @@
 LAPSE_GRACE_S = 2.0
 # Weight of the newest sample in the running mean of an instance's response time.
 RESPONSE_TIME_WEIGHT = 0.2
+# The same for its share of failures: about the last 15 requests.
+FAILURE_WEIGHT = 0.07
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -51,7 +53,9 @@
     in_flight : int
         Requests that this process has sent and that have not ended.
     failures : int
-        Failures in a row.
+        Failed connections in a row.
+    failure_share : float
+        Running share of requests that failed there.
     excluded_until_s : float
         Monotonic time until which no new work goes there.
     """
@@ -64,6 +68,10 @@
     response_s: float = 0.0
     lapsed_at_s: float | None = None
     gone: bool = False
+    failure_share: float = 0.0
+    # Monotonic times at which requests were sent that have no answer yet.
+    unanswered: dict[int, float] = field(default_factory=dict)
+    last_answer_s: float = float("-inf")
     recent_parts: dict[str, float] = field(default_factory=dict)
 
     def usable(self, now_s: float) -> bool:
@@ -74,9 +82,31 @@
             and self.excluded_until_s <= now_s
         )
 
+    def note_sent(self, number: int, now_s: float) -> None:
+        """Note a request that waits for its answer."""
+        self.unanswered[number] = now_s
+
+    def note_answer(self, number: int, now_s: float) -> None:
+        """Note the first bytes of an answer."""
+        self.unanswered.pop(number, None)
+        self.last_answer_s = now_s
+
+    def silent_s(self, now_s: float) -> float:
+        """Return for how long requests have waited without any answer."""
+        if not self.unanswered:
+            return 0.0
+        oldest_s = next(iter(self.unanswered.values()))
+        return now_s - max(oldest_s, self.last_answer_s)
+
+    def note_outcome(self, *, failed: bool) -> None:
+        """Count a request as failed or served."""
+        if not failed:
+            self.failures = 0
+        sample = 1.0 if failed else 0.0
+        self.failure_share += FAILURE_WEIGHT * (sample - self.failure_share)
+
     def note_response(self, elapsed_s: float) -> None:
-        """Count a request that the instance answered."""
-        self.failures = 0
+        """Count the time of a request that the instance answered."""
         if self.response_s == 0.0:
             self.response_s = elapsed_s
         self.response_s += RESPONSE_TIME_WEIGHT * (elapsed_s - self.response_s)
--- a/lentilroad/platform/metadata.py
+++ b/lentilroad/platform/metadata.py
@@ -21,7 +21,7 @@
 
 # The store answers in 4 ms; a call without an answer is repeated on a new connection.
 CALL_TIMEOUT_S = 1.5
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 29.0
 WATCH_GRACE_S = 2.0
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 1.0
@@ -234,6 +234,7 @@
     clock: Clock,
     on_listing: Callable[[Listing], None],
     on_change: Callable[[StoredItem], None],
+    pause_s: float = 0.0,
 ) -> None:
     """Keep a view of all items below `prefix` up to date; never returns.
 
@@ -249,6 +250,9 @@
         Gets all items, at the start and whenever changes may have been missed.
     on_change : callable
         Gets each later change.
+    pause_s : float
+        Seconds between an answer and the next watch, so that changes in quick
+        succession take one call.
     """
     revision: int | None = None
     delay_s = RETRY_FIRST_S
@@ -267,6 +271,8 @@
             delay_s = RETRY_FIRST_S
             for change in changes:
                 on_change(change)
+            if changes:
+                await clock.sleep(pause_s)
         except HistoryLostError:
             log_event("metadata_history_lost", prefix=prefix, revision=revision)
             revision = None
--- a/lentilroad/platform/roles.py
+++ b/lentilroad/platform/roles.py
@@ -14,7 +14,11 @@
 from lentilroad.connection.server import start_server
 from lentilroad.conversation.allowance import Allowances
 from lentilroad.conversation.client import Place, StorageClient
-from lentilroad.conversation.const import SEGMENT_BYTES, SWEEP_INTERVAL_S
+from lentilroad.conversation.const import (
+    MEMBER_PROBE_INTERVAL_S,
+    SEGMENT_BYTES,
+    SWEEP_INTERVAL_S,
+)
 from lentilroad.conversation.joining import Joining, MapStore, read_disk_id
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.members import (
@@ -67,6 +71,8 @@
 
 MEMBERS_KEY = "lentilroad/storage"
 DIRECTORY_SWEEP_S = 0.25
+# Far below the seconds within which a draining worker must get no more work.
+WORKER_WATCH_PAUSE_S = 0.4
 MEGABYTE = 2**20
 
 
@@ -109,7 +115,7 @@
     telemetry.gauge("metadata_calls", lambda: metadata.calls)
 
     def ready() -> tuple[int, str]:
-        serving = state.table is not None and not state.stopping
+        serving = state.table is not None and not state.stopping and storage.available()
         return (200, "ready") if serving else (503, "not ready")
 
     runner = await serve_callers(settings.client_address, ingress, state)
@@ -133,6 +139,7 @@
             clock=clock,
             on_listing=lambda listing: _list_workers(listing, directory, dispatcher),
             on_change=lambda item: _change_worker(item, directory, dispatcher),
+            pause_s=WORKER_WATCH_PAUSE_S,
         ),
         follow_prefix(
             metadata,
@@ -141,6 +148,7 @@
             on_listing=lambda listing: _each(listing, _note_members(storage.note_map)),
             on_change=_note_members(storage.note_map),
         ),
+        _repeat(storage.probe_down_members, MEMBER_PROBE_INTERVAL_S, clock),
         _repeat(allowances.hand_back_idle, DIRECTORY_SWEEP_S, clock),
         _repeat(lambda: _sweep(directory, dispatcher), DIRECTORY_SWEEP_S, clock),
     ]
@@ -177,7 +185,9 @@
 
     replica = Replica(
         journal=Journal(
-            folder=settings.data_folder / "journal", segment_bytes=SEGMENT_BYTES
+            folder=settings.data_folder / "journal",
+            segment_bytes=SEGMENT_BYTES,
+            clock=clock,
         ),
         disk_id=disk_id,
         clock=clock,
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -107,10 +107,18 @@
 MOST_CACHED_PARTS = 512
 RETRY_AFTER_LEAST_S = 0.05
 RETRY_AFTER_MOST_S = 0.5
+# A failed request costs its caller a retry after 0.1 to 0.4 s and the work done.
+FAILURE_COST_S = 0.8
+# An instance without any answer for this long, and for this many of its usual
+# response times, gets no further work while others can take it.
+SILENT_AFTER_S = 0.35
+SILENT_RESPONSES = 3.0
 # An answer must be written before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.02
 # Instances that answered that they have not run a request are tried in turn.
 MOST_REFUSALS = 3
 # An instance whose connections fail is left alone for this long.
-EXCLUDE_AFTER_FAILURE_S = 0.5
+EXCLUDE_AFTER_FAILURE_S = 0.3
+# It doubles with each failure in a row, up to three heartbeats of an instance.
+EXCLUDE_MOST_S = 4.0
 EXCLUDE_WRONG_INSTANCE_S = 5.0
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -15,12 +15,15 @@
 from lentilroad.request.const import (
     CACHED_PART_LIFETIME_S,
     DEFAULT_RESPONSE_S,
+    FAILURE_COST_S,
     MOST_CACHED_PARTS,
     OTHER_REGION_COST_S,
     OTHER_ZONE_COST_S,
     PREFILL_COST_S_PER_TOKEN,
     RETRY_AFTER_LEAST_S,
     RETRY_AFTER_MOST_S,
+    SILENT_AFTER_S,
+    SILENT_RESPONSES,
 )
 
 
@@ -171,6 +174,10 @@
         elif zone != self._zone:
             cost_s += OTHER_ZONE_COST_S
         response_s = state.response_s or DEFAULT_RESPONSE_S
+        cost_s += FAILURE_COST_S * state.failure_share
+        silent_s = state.silent_s(self._clock.monotonic_s())
+        if silent_s > max(SILENT_AFTER_S, SILENT_RESPONSES * response_s):
+            cost_s += FAILURE_COST_S
         cost_s += response_s * state.in_flight / max(1, state.instance.slots)
         if state.instance.instance_id != work.preferred:
             cost_s += PREFILL_COST_S_PER_TOKEN * work.history_tokens
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -36,6 +37,7 @@
 from lentilroad.request.const import (
     DEADLINE_MARGIN_S,
     EXCLUDE_AFTER_FAILURE_S,
+    EXCLUDE_MOST_S,
     EXCLUDE_WRONG_INSTANCE_S,
     MOST_REFUSALS,
     RETRY_AFTER_MOST_S,
@@ -126,6 +128,7 @@
         self._telemetry = telemetry
         self._stopping = stopping
         self._random = random.Random()
+        self._numbers = itertools.count()
         self.open_requests = 0
         self.busy_connections: set[object] = set()
 
@@ -289,7 +292,9 @@
                 if exchange.refusals > MOST_REFUSALS:
                     raise
             except ExchangeBrokenError as error:
-                self._exclude(state, EXCLUDE_AFTER_FAILURE_S, str(error))
+                state.note_outcome(failed=True)
+                if not error.request_written:
+                    self._exclude(state, _exclusion_s(state), str(error))
                 if not error.request_written:
                     exchange.refusals += 1
                     if exchange.refusals > MOST_REFUSALS:
@@ -303,6 +308,7 @@
                         outcome="unknown",
                     ) from error
             except UpstreamError:
+                state.note_outcome(failed=True)
                 if not repeatable or self._sends_left(exchange) <= 0:
                     raise
             finally:
@@ -376,6 +382,7 @@
                     outcome="unknown",
                 )
             answer = await read(connection, head)
+            state.note_outcome(failed=head.status >= 500)
         state.note_response(self._clock.monotonic_s() - sent_s)
         return answer
 
@@ -532,6 +539,10 @@
     return 504 if isinstance(error, DeadlineExceededError) else 502
 
 
+def _exclusion_s(state: UpstreamState) -> float:
+    return min(EXCLUDE_MOST_S, EXCLUDE_AFTER_FAILURE_S * 2**state.failures)
+
+
 def _pick(services: tuple[tuple[str, int], ...], source: random.Random) -> str:
     if len(services) == 1:
         return services[0][0]
