Probe the other members before copying; test losses and budgets in virtual time

Cause: a new disk tried to copy from the member that it replaces before it asked who answers; with the connect timeout of 1.5 s its catch-up took longer than the 4.4 s of the bounds (test_replaced_instance_is_succeeded failed first). A grant did not count the turn that it was raised for as needed, so that another entry could wait in vain.

--- a/lentilroad/conversation/allowance.py
+++ b/lentilroad/conversation/allowance.py
@@ -48,13 +48,13 @@
     def needed_tokens(self) -> int:
         return self.used_tokens + self.reserved_tokens
 
-    def grant(self, tokens: int) -> Grant:
+    def grant(self, tokens: int, *, starting_tokens: int = 0) -> Grant:
         self.revision += 1
         return Grant(
             grant_id=self.grant_id,
             tokens=tokens,
             confirmed_tokens=self.granted_tokens,
-            needed_tokens=self.needed_tokens(),
+            needed_tokens=self.needed_tokens() + starting_tokens,
             revision=self.revision,
         )
 
@@ -142,16 +142,17 @@
             prepaid = wanted + most_tokens
             if prepaid > budget * PREPAY_BUDGET_SHARE or attempt:
                 prepaid = wanted
-            grants, confirmed = await self._reserve(program_id, program.grant(prepaid))
+            grants, confirmed = await self._reserve(
+                program_id, program.grant(prepaid, starting_tokens=most_tokens)
+            )
             if not confirmed:
                 grants, _ = await self._reserve(program_id, None)
             others = [g for g in grants if g.grant_id != program.grant_id]
             others_tokens = sum(g.tokens for g in others)
             if others_tokens + prepaid <= budget:
                 program.granted_tokens = prepaid
-                self._in_background(
-                    self._confirm(program_id, program.grant(program.granted_tokens))
-                )
+                grant = program.grant(prepaid, starting_tokens=most_tokens)
+                self._in_background(self._confirm(program_id, grant))
                 return
             self._in_background(
                 self._confirm(program_id, program.grant(program.granted_tokens))
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -22,7 +22,7 @@
 # A sync takes 1 ms; a disk that holds one for longer counts as failed.
 DISK_STALL_S = 0.3
 # Idle grants of a program are handed back after this time.
-GRANT_IDLE_S = 1.5
+GRANT_IDLE_S = 0.5
 # A program whose budget is below this share is given tokens turn by turn.
 PREPAY_BUDGET_SHARE = 0.5
 # How long a turn waits for tokens that other entries hold but do not use.
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -237,30 +237,35 @@
             return
         self._member = present
         if not self._replica.complete:
-            if not await self._catch_up():
-                await self._replace_silent()
+            silent = await self._silent_members()
+            if not await self._replace(silent):
+                await self._catch_up(silent)
             return
         if present.slot is not None:
             return
         if free_slot(self._known.listed) is not None:
             await self._take_place([])
             return
-        await self._replace_silent()
+        await self._replace(await self._silent_members())
 
-    async def _catch_up(self) -> bool:
+    async def _catch_up(self, silent: list[Member]) -> None:
         """Copy what the disk should hold from all other members.
 
         A member is read once: turns that are written after this disk joined lie on
         enough disks without it.
         """
         known = self._known
-        others = [m for m in self._others() if m.disk_id not in self._pulled]
+        others = [
+            member
+            for member in self._others()
+            if member.disk_id not in self._pulled and member not in silent
+        ]
         started_s = self._clock.monotonic_s()
         results = await asyncio.gather(
             *(self._pull(member, known.version) for member in others),
             return_exceptions=True,
         )
-        failed = []
+        failed = [member.node for member in silent]
         for member, result in zip(others, results, strict=True):
             if isinstance(result, BaseException):
                 failed.append(member.node)
@@ -269,10 +274,10 @@
         # A turn lies on one disk more than may be lost at once. Besides the replaced
         # one, that many less one may be missing.
         if len(failed) > max(0, self._losses - 1):
-            log_event("storage_catch_up_failed", members=failed)
-            return False
+            log_event("storage_catch_up_waits", members=failed)
+            return
         if self._known.version != known.version:
-            return False
+            return
         await self._replica.mark_complete()
         log_event(
             "storage_caught_up",
@@ -280,7 +285,6 @@
             members=len(others),
             elapsed_s=round(self._clock.monotonic_s() - started_s, 3),
         )
-        return True
 
     async def _pull(self, member: Member, map_version: int) -> None:
         request = PullRequest(lost_disk_id=self._lost_disk_id, map_version=map_version)
@@ -292,11 +296,7 @@
             if batch.ledgers:
                 await self._replica.put_ledgers(PutLedgers(ledgers=batch.ledgers))
 
-    async def _replace_silent(self) -> None:
-        """Take over from members that have not answered for some time.
-
-        One that was only cut off finds itself left out and joins again with its disk.
-        """
+    async def _silent_members(self) -> list[Member]:
         others = self._others()
         now_s = self._clock.monotonic_s()
         answers = await asyncio.gather(*(self._answers(member) for member in others))
@@ -307,9 +307,17 @@
                 continue
             silent.append(member)
             self._silent_since_s.setdefault(member.disk_id, now_s)
+        return silent
+
+    async def _replace(self, silent: list[Member]) -> bool:
+        """Take over from members that have not answered for some time.
+
+        One that was only cut off finds itself left out and joins again with its disk.
+        """
         # More silent members than may be lost mean that this instance is cut off.
         if len(silent) > self._losses:
-            return
+            return False
+        now_s = self._clock.monotonic_s()
         gone = [
             member
             for member in silent
@@ -317,6 +325,7 @@
         ]
         if gone:
             await self._take_place(gone)
+        return bool(gone)
 
     async def _take_place(self, gone: list[Member]) -> None:
         known = self._known
--- /dev/null
+++ b/tests/conversation/test_losses.py
@@ -0,0 +1,294 @@
+"""Turns and grants outlive every loss that the deployment tolerates."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilroad.conversation.allowance import Allowances
+from lentilroad.errors import (
+    BudgetExhaustedError,
+    NotFoundError,
+    UnavailableError,
+)
+from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.storage_cluster import StorageCluster, turn
+
+# The shorter of the two deployments' bounds.
+CATCH_UP_S = 4.4
+THREE = ["dakar", "saint-louis", "thies"]
+
+
+async def _formed(regions: list[str] = THREE, losses: int = 1) -> StorageCluster:
+    cluster = StorageCluster(regions=regions, losses=losses)
+    await cluster.form()
+    return cluster
+
+
+def test_first_start_gives_each_instance_a_slot_and_a_complete_disk() -> None:
+    """Guard against an instance that waits for copies that nobody has."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        assert sorted(m.slot for m in cluster.stored.known.listed.members) == [0, 1, 2]
+        assert all(node.replica.complete for node in cluster.nodes.values())
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("wiped", ["store-0", "store-1", "store-2"])
+def test_turn_survives_the_loss_of_any_disk(wiped: str) -> None:
+    """Guard against a turn that counts with all copies on one disk."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        await client.put_turn(turn("b", "a"), key="p")
+        cluster.nodes[wiped].wipe()
+        found = await client.read_chain("b", key="p")
+        assert [record.turn_id for record in found] == ["b", "a"]
+
+    run_virtual(run())
+
+
+def test_wiped_disk_is_filled_before_the_next_loss() -> None:
+    """Guard against copies that are not restored: LOST after two losses in a row."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        holders = [n for n in cluster.nodes.values() if n.holds("a")]
+        assert len(holders) == 2
+        holders[0].wipe()
+        await cluster.clock.sleep(1.0)
+        holders[0].start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        holders[1].wipe()
+        assert (await client.read_chain("a", key="p"))[0].turn_id == "a"
+
+    run_virtual(run())
+
+
+def test_replaced_instance_is_succeeded_although_it_never_answers() -> None:
+    """Guard against a new disk that waits for the one that it replaces (RECOVER).
+
+    Two machines were replaced one after the other; their successors waited for
+    them, and no quorum was left.
+    """
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        for old, new in (("store-0", "store-3"), ("store-2", "store-4")):
+            cluster.nodes[old].kill()
+            await cluster.clock.sleep(1.0)
+            cluster.add(new, cluster.nodes[old].region).start()
+            await cluster.clock.sleep(CATCH_UP_S)
+            assert cluster.nodes[new].replica.complete
+        names = {m.node for m in cluster.stored.known.listed.members}
+        assert names == {"store-1", "store-3", "store-4"}
+        assert (await client.read_chain("a", key="p"))[0].turn_id == "a"
+
+    run_virtual(run())
+
+
+def test_emptied_instance_leaves_enough_real_copies() -> None:
+    """Guard against counting intended holders as copies (LOST after a retirement)."""
+
+    async def run() -> None:
+        cluster = await _formed([*THREE, "dakar"])
+        client = cluster.client("thies")
+        ids = [f"t{number}" for number in range(20)]
+        for turn_id in ids:
+            await client.put_turn(turn(turn_id), key=turn_id)
+        retired = cluster.nodes["store-2"]
+        await retired.joining.retire()
+        retired.wipe()
+        cluster.nodes["store-1"].wipe()
+        for turn_id in ids:
+            assert (await client.read_chain(turn_id, key=turn_id))[0].turn_id == turn_id
+
+    run_virtual(run())
+
+
+def test_emptied_instance_takes_no_turn_afterwards() -> None:
+    """Guard against a copy on a disk that is about to be removed."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("thies")
+        cluster.stored.watchers.remove(client.note_map)
+        await cluster.nodes["store-2"].joining.retire()
+        # The entry still has the old list.
+        await client.put_turn(turn("late"), key="p")
+        held = [name for name, node in cluster.nodes.items() if node.holds("late")]
+        assert "store-2" not in held
+        assert len(held) >= 2
+
+    run_virtual(run())
+
+
+def test_absent_turn_is_denied_only_when_every_member_denies_it() -> None:
+    """Guard against a 404 while a copy may lie on a member that did not answer."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        with pytest.raises(NotFoundError):
+            await client.read_chain("never", key="p")
+        cluster.nodes["store-1"].kill()
+        with pytest.raises(UnavailableError) as caught:
+            await client.read_chain("never", key="p")
+        assert caught.value.outcome == "not_run"
+        assert caught.value.retry_after_ms is not None
+
+    run_virtual(run())
+
+
+def test_empty_disk_does_not_deny_a_turn() -> None:
+    """Guard against a wiped disk whose answer counts before it has caught up."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        holders = [n for n in cluster.nodes.values() if n.holds("a")]
+        other = next(n for n in cluster.nodes.values() if not n.holds("a"))
+        holders[0].wipe()
+        holders[1].kill()
+        holders[0].start()
+        await cluster.clock.sleep(1.0)
+        assert not holders[0].replica.complete
+        assert other.replica.complete
+        with pytest.raises(UnavailableError):
+            await client.read_chain("a", key="p")
+
+    run_virtual(run())
+
+
+def test_power_loss_of_all_keeps_turns_and_grants() -> None:
+    """Guard against anything acknowledged that was not synced."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        allowances = _allowances(cluster, client)
+        await allowances.acquire("p", 100, 150)
+        for node in cluster.nodes.values():
+            node.kill()
+        await cluster.clock.sleep(1.0)
+        for node in cluster.nodes.values():
+            node.start()
+        await cluster.clock.sleep(2.0)
+        after = cluster.client("thies", "entry-2")
+        assert (await after.read_chain("a", key="p"))[0].turn_id == "a"
+        with pytest.raises(BudgetExhaustedError):
+            await _allowances(cluster, after).acquire("p", 100, 150)
+
+    run_virtual(run())
+
+
+def test_member_that_was_replaced_while_cut_off_joins_again_with_its_disk() -> None:
+    """Guard against a disk that is forgotten because its process did not answer."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        cluster.nodes["store-1"].kill()
+        cluster.add("store-3", "dakar").start()
+        await cluster.clock.sleep(5.0)
+        cluster.nodes["store-1"].start()
+        await cluster.clock.sleep(3.0)
+        listed = {m.node: m.slot for m in cluster.stored.known.listed.members}
+        assert listed["store-1"] is None
+        assert listed["store-3"] is not None
+
+    run_virtual(run())
+
+
+def test_instance_cut_off_from_all_others_replaces_nobody() -> None:
+    """Guard against an isolated newcomer that takes the place of live members."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        cluster.cut.update(("store-3", f"store-{number}") for number in range(3))
+        cluster.add("store-3", "dakar").start()
+        await cluster.clock.sleep(10.0)
+        listed = {m.node: m.slot for m in cluster.stored.known.listed.members}
+        assert [listed[f"store-{n}"] for n in range(3)].count(None) == 0
+
+    run_virtual(run())
+
+
+def test_entry_refuses_at_once_when_no_quorum_answers() -> None:
+    """Guard against turns that are held before they are refused.
+
+    Two of six entries were cut off from the storage members and held each turn for a
+    second.
+    """
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        allowances = _allowances(cluster, client)
+        cluster.cut.update(("entry", f"store-{number}") for number in range(3))
+        with pytest.raises(UnavailableError):
+            await allowances.acquire("p", 100, 1000)
+        assert not client.available()
+        before_s = cluster.clock.monotonic_s()
+        with pytest.raises(UnavailableError) as caught:
+            await allowances.acquire("q", 100, 1000)
+        assert cluster.clock.monotonic_s() == before_s
+        assert caught.value.outcome == "not_run"
+        cluster.cut.clear()
+        await client.probe_down_members()
+        assert client.available()
+        await allowances.acquire("q", 100, 1000)
+
+    run_virtual(run())
+
+
+def test_stalled_disk_does_not_hold_up_turns() -> None:
+    """Guard against a write that waits for the one disk that does not answer."""
+
+    async def run() -> None:
+        cluster = await _formed()
+        client = cluster.client("dakar")
+        cluster.nodes["store-0"].journal.stalled = True
+        before_s = cluster.clock.monotonic_s()
+        await client.put_turn(turn("a"), key="p")
+        assert cluster.clock.monotonic_s() - before_s < 0.25
+        await cluster.clock.sleep(1.0)
+        await client.probe_down_members()
+        before_s = cluster.clock.monotonic_s()
+        await client.put_turn(turn("b", "a"), key="p")
+        assert cluster.clock.monotonic_s() - before_s < 0.25
+
+    run_virtual(run())
+
+
+def test_two_losses_at_once_among_eleven_members() -> None:
+    """Guard against fewer copies than the tolerated losses require."""
+
+    async def run() -> None:
+        regions = [THREE[number % 3] for number in range(11)]
+        cluster = await _formed(regions, losses=2)
+        client = cluster.client("dakar")
+        for number in range(30):
+            await client.put_turn(turn(f"t{number}"), key=f"t{number}")
+        for name in ("store-0", "store-3"):
+            cluster.nodes[name].wipe()
+        for number in range(30):
+            assert await client.read_chain(f"t{number}", key=f"t{number}")
+
+    run_virtual(run())
+
+
+def _allowances(cluster: StorageCluster, client) -> Allowances:
+    return Allowances(
+        reserve=client.reserve, confirm=client.confirm, clock=cluster.clock
+    )
--- /dev/null
+++ b/tests/fakes/storage_cluster.py
@@ -0,0 +1,283 @@
+"""Storage processes in memory, in virtual time, with switchable faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator, Iterator
+from typing import Any
+
+from lentilroad.clock import Clock, LoopClock
+from lentilroad.conversation.client import Place, StorageClient
+from lentilroad.conversation.joining import Joining, MapStore
+from lentilroad.conversation.members import (
+    Member,
+    MemberList,
+    MemberMap,
+    encode_members,
+)
+from lentilroad.conversation.messages import (
+    PROBE,
+    PULL,
+    PUT_LEDGERS,
+    PUT_TURNS,
+    READ_CHAIN,
+    RESERVE,
+    WHICH_TURNS,
+    TurnRecord,
+)
+from lentilroad.conversation.replica import Replica
+from lentilroad.errors import ConflictError, UnavailableError
+
+IN_REGION_S = 0.001
+OTHER_REGION_S = 0.012
+SYNC_S = 0.001
+
+
+class MemoryJournal:
+    """Journal whose records survive the replica that wrote them.
+
+    Attributes
+    ----------
+    stalled : bool
+        Whether the disk holds up all writes.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.records: list[bytes] = []
+        self.stalled = False
+        self._clock = clock
+
+    def read(self) -> Iterator[tuple[int, bytes]]:
+        """Return all synced records."""
+        return ((1, record) for record in self.records)
+
+    async def append(self, payload: bytes) -> int:
+        """Sync one record."""
+        await self._clock.sleep(SYNC_S)
+        while self.stalled:
+            await self._clock.sleep(SYNC_S)
+        self.records.append(payload)
+        return 1
+
+    def remove_before(self, number: int) -> int:
+        """Keep everything."""
+        return 0
+
+    def current_segment(self) -> int:
+        """Return the only segment."""
+        return 1
+
+    def size_bytes(self) -> int:
+        """Return the size of all records."""
+        return sum(len(record) for record in self.records)
+
+    def waiting_s(self) -> float:
+        """Return a long wait while the disk is stalled."""
+        return 10.0 if self.stalled else 0.0
+
+
+class StoredMap:
+    """The list of members in a metadata store."""
+
+    def __init__(self) -> None:
+        self.known = MemberMap(version=0, listed=MemberList())
+        self.away = False
+        self.watchers: list[Any] = []
+
+    async def read(self) -> MemberMap:
+        """Return the newest list."""
+        await asyncio.sleep(0.004)
+        if self.away:
+            raise UnavailableError("the store is away")
+        return self.known
+
+    async def write(self, listed: MemberList, version: int) -> int:
+        """Write the list if nobody else has."""
+        await asyncio.sleep(0.004)
+        if self.away:
+            raise UnavailableError("the store is away")
+        if version != self.known.version:
+            raise ConflictError("the list was changed meanwhile")
+        self.known = MemberMap(version=version + 1, listed=listed)
+        for watcher in self.watchers:
+            watcher(self.known)
+        return self.known.version
+
+
+class StorageNode:
+    """One instance with a disk."""
+
+    def __init__(self, *, cluster: StorageCluster, name: str, region: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.region = region
+        self.address = name
+        self.disks = 0
+        self.running = False
+        self.replica: Replica
+        self.joining: Joining
+        self.journal: MemoryJournal
+        self._known = MemberMap(version=0, listed=MemberList())
+        self._task: asyncio.Task[None] | None = None
+        self.new_disk()
+
+    def new_disk(self) -> None:
+        """Put in an empty disk."""
+        self.disks += 1
+        self.journal = MemoryJournal(clock=self.cluster.clock)
+
+    def start(self, *, first_start: bool = False) -> None:
+        """Start the process on its disk."""
+        disk_id = f"disk-{self.name}-{self.disks}"
+        self.replica = Replica(
+            journal=self.journal,
+            disk_id=disk_id,
+            clock=self.cluster.clock,
+            disk_bytes=10**8,
+            listed_disks=lambda: {m.disk_id for m in self._known.listed.members},
+            members=lambda: (self._known.version, encode_members(self._known.listed)),
+        )
+        self.replica.recover()
+        self.joining = Joining(
+            member=Member(
+                node=self.name,
+                disk_id=disk_id,
+                address=self.address,
+                availability_zone=f"{self.region}-a",
+                region=self.region,
+            ),
+            new_disk=not self.journal.records,
+            first_start=first_start,
+            replica=self.replica,
+            map_store=MapStore(
+                read=self.cluster.stored.read, write=self.cluster.stored.write
+            ),
+            call=self.cluster.caller(self.region, self.name),
+            stream=self.cluster.streamer(self.region, self.name),
+            clock=self.cluster.clock,
+            on_map=self._note_map,
+            losses=self.cluster.losses,
+        )
+        self.cluster.stored.watchers.append(self.joining.note_map)
+        self.running = True
+        self._task = asyncio.create_task(self.joining.run())
+
+    def kill(self) -> None:
+        """Kill the process; its disk stays."""
+        self.running = False
+        if self._task is not None:
+            self._task.cancel()
+        if self.joining.note_map in self.cluster.stored.watchers:
+            self.cluster.stored.watchers.remove(self.joining.note_map)
+
+    def wipe(self) -> None:
+        """Kill the process and lose its disk."""
+        self.kill()
+        self.new_disk()
+
+    def holds(self, turn_id: str) -> bool:
+        """Return whether the disk holds a turn."""
+        return any(record.turn_id == turn_id for record in self.replica.turns())
+
+    def _note_map(self, known: MemberMap) -> None:
+        self._known = known
+
+
+class StorageCluster:
+    """Storage processes that call each other in memory.
+
+    Parameters
+    ----------
+    regions : list of str
+        Region of each instance.
+    losses : int
+        Number of disks whose loss must lose nothing.
+    """
+
+    def __init__(self, *, regions: list[str], losses: int = 1) -> None:
+        self.clock = LoopClock(loop=asyncio.get_running_loop())
+        self.losses = losses
+        self.stored = StoredMap()
+        self.cut: set[tuple[str, str]] = set()
+        self.nodes: dict[str, StorageNode] = {}
+        for number, region in enumerate(regions):
+            self.add(f"store-{number}", region)
+
+    def add(self, name: str, region: str) -> StorageNode:
+        """Add an instance that is not started."""
+        self.nodes[name] = StorageNode(cluster=self, name=name, region=region)
+        return self.nodes[name]
+
+    async def form(self) -> None:
+        """Start all instances for the first time."""
+        for node in self.nodes.values():
+            node.start(first_start=True)
+        await self.clock.sleep(5.0)
+
+    def client(self, region: str, name: str = "entry") -> StorageClient:
+        """Return the client of an entry in a region; it follows the list."""
+        client = StorageClient(
+            call=self.caller(region, name),
+            clock=self.clock,
+            place=Place(availability_zone=f"{region}-a", region=region),
+            losses=self.losses,
+        )
+        client.note_map(self.stored.known)
+        self.stored.watchers.append(client.note_map)
+        return client
+
+    def caller(self, region: str, name: str) -> Any:
+        """Return a function that calls members from a place."""
+
+        async def call(address: str, method: Any, request: Any, timeout_s: float):
+            async with asyncio.timeout(timeout_s):
+                node = await self._reach(region, name, address)
+                handlers = {
+                    PUT_TURNS: node.replica.put_turns,
+                    READ_CHAIN: node.replica.read_chain,
+                    RESERVE: node.replica.reserve,
+                    PUT_LEDGERS: node.replica.put_ledgers,
+                    WHICH_TURNS: node.replica.which_turns,
+                    PROBE: node.replica.probe,
+                }
+                reply = await handlers[method](request)
+                await self._reach(region, name, address)
+                return reply
+
+        return call
+
+    def streamer(self, region: str, name: str) -> Any:
+        """Return a function that reads streams of members from a place."""
+
+        async def stream(
+            address: str, method: Any, request: Any, timeout_s: float
+        ) -> AsyncGenerator[Any, None]:
+            assert method is PULL
+            async with asyncio.timeout(timeout_s):
+                node = await self._reach(region, name, address)
+                async for batch in node.replica.pull(request):
+                    yield batch
+
+        return stream
+
+    async def _reach(self, region: str, name: str, address: str) -> StorageNode:
+        node = self.nodes[address]
+        near = node.region == region
+        await self.clock.sleep(IN_REGION_S if near else OTHER_REGION_S)
+        if not node.running or (name, address) in self.cut:
+            # Nothing answers; the caller's timeout ends the call.
+            await asyncio.Event().wait()
+        return node
+
+
+def turn(turn_id: str, previous_id: str = "", **fields: Any) -> TurnRecord:
+    """Return a short record of a turn."""
+    values = {
+        "input": f"in-{turn_id}\n".encode(),
+        "output": f"out-{turn_id}\n".encode(),
+        "instance_id": "i-1",
+        "holders": [],
+        "retention_s": 60.0,
+        **fields,
+    }
+    return TurnRecord(turn_id=turn_id, previous_id=previous_id, **values)
