Follow the idle limit in force; serve the storage process's metrics

Cause: the idle limit of callers' connections was read once, before a configuration was known; callers use connections up to four fifths of the limit in force. The storage process had no metrics address. Ruled out: enforcing the limit by a timer of our own.

--- a/lentilroad/platform/roles.py
+++ b/lentilroad/platform/roles.py
@@ -183,12 +183,13 @@
         listed.clear()
         listed.update(member.disk_id for member in newer.listed.members)
 
+    journal = Journal(
+        folder=settings.data_folder / "journal",
+        segment_bytes=SEGMENT_BYTES,
+        clock=clock,
+    )
     replica = Replica(
-        journal=Journal(
-            folder=settings.data_folder / "journal",
-            segment_bytes=SEGMENT_BYTES,
-            clock=clock,
-        ),
+        journal=journal,
         disk_id=disk_id,
         clock=clock,
         disk_bytes=settings.disk_mb * MEGABYTE,
@@ -228,6 +229,15 @@
         settings.ip,
         settings.peer_port,
     )
+    telemetry = Telemetry()
+    telemetry.gauge("turns_held", lambda: len(replica.turns()))
+    telemetry.gauge("disk_complete", lambda: int(replica.complete))
+    telemetry.gauge("disk_write_s", journal.waiting_s)
+    telemetry.gauge("metadata_calls", lambda: metadata.calls)
+    await serve_text(
+        f"{settings.ip}:{settings.metrics_port}",
+        {"/metrics": lambda: (200, telemetry.text())},
+    )
     retire_key = RETIRE_PREFIX + settings.node
     retiring: list[asyncio.Task[None]] = []
 
--- a/lentilroad/process/gateway.py
+++ b/lentilroad/process/gateway.py
@@ -43,20 +43,32 @@
         return ClientLimits() if self.table is None else self.table.limits
 
 
+class _CallerServer(web.Server):
+    """Server whose new connections follow the idle limit in force."""
+
+    def __init__(
+        self, handler: Callable[..., Awaitable[web.StreamResponse]], state: GatewayState
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._state = state
+
+    def __call__(self) -> web.RequestHandler:
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            max_line_size=MOST_HEADER_LINE_BYTES,
+            max_field_size=MOST_HEADER_LINE_BYTES,
+            keepalive_timeout=self._state.limits().idle_timeout_s,
+            lingering_time=0.0,
+        )
+
+
 async def serve_callers(
     address: str, ingress: Ingress, state: GatewayState
 ) -> web.ServerRunner:
     """Accept callers' connections on `address`, "ip:port"."""
-    server = web.Server(
-        ingress.handle,
-        handler_cancellation=True,
-        access_log=None,
-        max_line_size=MOST_HEADER_LINE_BYTES,
-        max_field_size=MOST_HEADER_LINE_BYTES,
-        keepalive_timeout=state.limits().idle_timeout_s,
-        lingering_time=0.0,
-    )
-    return await _listen(server, address)
+    return await _listen(_CallerServer(ingress.handle, state), address)
 
 
 async def serve_text(
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -402,3 +402,19 @@
     state.note_table(_table(version=4))
     assert state.table is not None
     assert state.table.version == 5
+
+
+async def test_idle_limit_follows_the_configuration() -> None:
+    """Guard against connections closed before the idle time that callers may use."""
+    async with _gateway([], configured=False) as gateway:
+        host, port = gateway.runner.addresses[0][:2]
+        limits = ClientLimits(idle_timeout_s=0.2)
+        gateway.state.table = RouteTable(
+            version=1, routes=[], services={}, limits=limits
+        )
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(f"GET /x HTTP/1.1\r\nHost: h\r\n{ID}: a\r\n\r\n".encode())
+        answered = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+    # The read ends because the entry closes the idle connection.
+    assert answered.startswith(b"HTTP/1.1 404")
