--- a/lentilroad/membership/const.py
+++ b/lentilroad/membership/const.py
@@ -56,7 +56,7 @@
 # A gap between two ticks beyond this means that this process was paused.
 PAUSE_GAP_S = 1.0
 # Shards whose pair is lost are assigned anew after this time; see
-# docs/operations.md.
+# docs/OPERATIONS.md.
 RECOVERY_AFTER_S = 10.0
 # Epochs of a recovery stay clear of those that cut-off entries may still grant.
 RECOVERY_EPOCH_STEP = 1000
