Add a fault soak of the platform's programs as separate processes

script/soak starts entries and storage processes on loopback addresses with stand-ins of the store and the workers, kills, stops, pauses and restarts them, empties disks, makes the store refuse, loses answers and changes the configuration, and checks at-most-once, true refusals, histories, budgets and 404s from what callers and workers saw. A loopback proxy that delays or silences connections, and clocks, are not part of it yet.

--- /dev/null
+++ b/lentilroad/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the platform's programs as separate processes."""
--- /dev/null
+++ b/lentilroad/soak/main.py
@@ -0,0 +1,155 @@
+"""Randomized soak of the platform's programs under faults.
+
+Usage:
+  soak [--seed SEED] [--seconds SECONDS] [--callers COUNT] [--folder FOLDER]
+
+Options:
+  --seed SEED        Seed of programs and faults [default: 1].
+  --seconds SECONDS  Duration [default: 20].
+  --callers COUNT    Programs at the same time [default: 6].
+  --folder FOLDER    Folder of settings, disks and logs; a new temporary one when
+                     omitted. It is kept when a promise was broken.
+
+Exit codes:
+  0  no promise was broken
+  1  a promise was broken, or nothing was served
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+from docopt import docopt
+
+from lentilroad.soak.programs import Caller, Findings
+from lentilroad.soak.world import ProgramProcess, World, configuration
+
+FORMING_S = 3.0
+# The bound on catching up; another disk may be lost after it.
+CATCH_UP_S = 4.4
+SETTLE_S = 2.0
+
+
+async def run_soak(
+    *, folder: Path, seed: int, duration_s: float, callers: int
+) -> Findings:
+    """Run programs beside random faults and return what they saw."""
+    source = random.Random(seed)
+    world = World(folder=folder, source=source)
+    caller = Caller(world=world, source=source)
+    try:
+        await world.start()
+        await asyncio.sleep(FORMING_S)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            faults = asyncio.create_task(_inject(world, source))
+            running = [
+                asyncio.create_task(_repeat_programs(caller, session))
+                for _ in range(callers)
+            ]
+            await asyncio.sleep(duration_s)
+            for task in (faults, *running):
+                task.cancel()
+            await asyncio.gather(faults, *running, return_exceptions=True)
+        # Requests that are still under way may run until now.
+        await asyncio.sleep(SETTLE_S)
+    finally:
+        await world.close()
+    caller.findings.check_runs(world)
+    return caller.findings
+
+
+async def _repeat_programs(caller: Caller, session: aiohttp.ClientSession) -> None:
+    while True:
+        await caller.program(session)
+
+
+async def _inject(world: World, source: random.Random) -> None:
+    version = 1
+    while True:
+        await asyncio.sleep(source.uniform(0.3, 1.5))
+        kind = source.choice(
+            ["kill", "stop", "pause", "wipe", "store", "lost", "configure"]
+        )
+        if kind == "kill":
+            await _restart(
+                source.choice([*world.entries, *world.storages]),
+                signal.SIGKILL,
+                source.uniform(0.0, 1.0),
+            )
+        elif kind == "stop":
+            await _restart(source.choice(world.entries), signal.SIGTERM, 0.1)
+        elif kind == "pause":
+            process = source.choice([*world.entries, *world.storages])
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(source.uniform(0.2, 2.5))
+            process.send(signal.SIGCONT)
+        elif kind == "wipe":
+            process = source.choice(world.storages)
+            await process.end(signal.SIGKILL)
+            process.wipe()
+            await process.start()
+            await asyncio.sleep(CATCH_UP_S)
+        elif kind == "store":
+            world.store.refusing = True
+            await asyncio.sleep(source.uniform(0.5, 3.0))
+            world.store.refusing = False
+        elif kind == "lost":
+            for worker in world.workers:
+                worker.lost_share = 0.05
+            await asyncio.sleep(1.0)
+            for worker in world.workers:
+                worker.lost_share = 0.0
+        else:
+            version += source.randint(1, 3)
+            await world.store.put("op/config", configuration(version=version))
+
+
+async def _restart(
+    process: ProgramProcess, number: signal.Signals, pause_s: float
+) -> None:
+    await process.end(number)
+    await asyncio.sleep(pause_s)
+    await process.start()
+
+
+def main(arguments: list[str]) -> int:
+    """Run the command; returns the exit code."""
+    given = docopt(__doc__, argv=arguments)
+    folder = Path(given["--folder"] or tempfile.mkdtemp(prefix="lentilroad-soak-"))
+    findings = asyncio.run(
+        run_soak(
+            folder=folder,
+            seed=int(given["--seed"]),
+            duration_s=float(given["--seconds"]),
+            callers=int(given["--callers"]),
+        )
+    )
+    passed = not findings.violations and findings.served > 0
+    print(
+        json.dumps(
+            {
+                "seed": int(given["--seed"]),
+                "served": findings.served,
+                "refused": findings.refused,
+                "failed": findings.failed,
+                "violations": findings.violations[:10],
+                "folder": "" if passed else str(folder),
+            }
+        )
+    )
+    if passed:
+        shutil.rmtree(folder, ignore_errors=True)
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/lentilroad/soak/programs.py
@@ -0,0 +1,170 @@
+"""Agent programs of the soak, and the promises that they check."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from lentilroad.soak.world import (
+    CLIENT_PORT,
+    MOST_TOKENS,
+    TOKENS_PER_EVENT,
+    World,
+)
+from lentilroad.standins.platform_worker import turn_output
+
+TRIES = 6
+ANSWER_TIMEOUT_S = 4.0
+NOT_RUN_STATUSES = frozenset((402, 408, 421, 429, 503))
+
+
+@dataclass(slots=True, kw_only=True)
+class Findings:
+    """What the programs saw.
+
+    Attributes
+    ----------
+    not_run : set of str
+        Requests whose answer promised that they have not run.
+    once : set of str
+        Requests that may run at most once.
+    bodies : dict of str to bytes
+        Body that a worker must have received for each turn.
+    """
+
+    violations: list[str] = field(default_factory=list)
+    not_run: set[str] = field(default_factory=set)
+    once: set[str] = field(default_factory=set)
+    bodies: dict[str, bytes] = field(default_factory=dict)
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+
+    def check_runs(self, world: World) -> None:
+        """Compare the answers with what the workers ran."""
+        for request_id, runs in world.log.runs.items():
+            if request_id in self.once and len(runs) > 1:
+                self.violations.append(f"{request_id} ran {len(runs)} times")
+            if request_id in self.not_run:
+                self.violations.append(f"{request_id} was refused and ran")
+            expected = self.bodies.get(request_id)
+            if expected is not None and any(run.body != expected for run in runs):
+                self.violations.append(f"{request_id} ran with another history")
+
+
+class Caller:
+    """Runs programs through random entries.
+
+    Parameters
+    ----------
+    world : World
+        Processes and stand-ins.
+    source : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(self, *, world: World, source: random.Random) -> None:
+        self.findings = Findings()
+        self._world = world
+        self._source = source
+        self._count = 0
+
+    async def program(self, session: aiohttp.ClientSession) -> None:
+        """Run one program: turns, forks, charges; ends with its budget."""
+        program_id = f"p{self._source.getrandbits(48):x}"
+        turns = self._source.randint(2, 6)
+        budget = self._source.randint(2, turns + 2) * MOST_TOKENS
+        # Ended turns and their whole conversation.
+        ended: list[tuple[str, bytes]] = [("", b"")]
+        handed_tokens = 0
+        for _ in range(turns):
+            previous, history = self._source.choice(ended[-2:])
+            text = f"in {self._source.getrandbits(32):x}\n".encode()
+            for _ in range(TRIES):
+                request_id = self._new_id()
+                self.findings.bodies[request_id] = history + text
+                status, answer, whole = await self._send(
+                    session,
+                    "/turn/x",
+                    request_id,
+                    text,
+                    {
+                        "Lentilroad-Program-Id": program_id,
+                        "Lentilroad-Token-Budget": str(budget),
+                        "Lentilroad-Token-Counts": f"10,{MOST_TOKENS}",
+                        **({"Lentilroad-Previous-Turn": previous} if previous else {}),
+                    },
+                )
+                handed_tokens += TOKENS_PER_EVENT * answer.count(b"data:")
+                if status == 404:
+                    self.findings.violations.append(
+                        f"{request_id}: turn {previous} was denied"
+                    )
+                if status == 402 or (status == 200 and whole):
+                    break
+                await asyncio.sleep(self._source.uniform(0.05, 0.4))
+            if status != 200 or not whole:
+                break
+            ended.append((request_id, history + text + turn_output(request_id)))
+            if self._source.random() < 0.4:
+                await self._charge(session)
+        if handed_tokens > budget + MOST_TOKENS:
+            self.findings.violations.append(
+                f"{program_id} got {handed_tokens} tokens of {budget}"
+            )
+
+    async def _charge(self, session: aiohttp.ClientSession) -> None:
+        request_id = self._new_id()
+        status, answer, whole = await self._send(
+            session, "/charge/x", request_id, b"charge", {}
+        )
+        if status == 200 and whole and answer != f"answer {request_id}".encode():
+            self.findings.violations.append(f"{request_id} got another answer")
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        request_id: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> tuple[int, bytes, bool]:
+        findings = self.findings
+        findings.once.add(request_id)
+        entry = self._source.choice(self._world.entries)
+        received = bytearray()
+        status = 0
+        try:
+            async with (
+                asyncio.timeout(ANSWER_TIMEOUT_S),
+                session.post(
+                    f"http://{entry.ip}:{CLIENT_PORT}{path}",
+                    data=body,
+                    headers={
+                        "Host": "soak.example",
+                        "Lentilroad-Attempt-Id": request_id,
+                        "Lentilroad-Deadline-Milliseconds": "3000",
+                        **headers,
+                    },
+                ) as response,
+            ):
+                status = response.status
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            # The entry was killed, paused, or broke its answer off.
+            findings.failed += 1
+            return status, bytes(received), False
+        if status in NOT_RUN_STATUSES:
+            findings.not_run.add(request_id)
+            findings.refused += 1
+        elif status == 200:
+            findings.served += 1
+        return status, bytes(received), True
+
+    def _new_id(self) -> str:
+        self._count += 1
+        return f"r{self._count:08d}"
--- /dev/null
+++ b/lentilroad/soak/world.py
@@ -0,0 +1,227 @@
+"""The platform's programs as separate processes on loopback, with stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+from pathlib import Path
+
+from lentilroad.standins.platform_store import StoreStandIn
+from lentilroad.standins.platform_worker import EVENTS, RunLog, WorkerStandIn
+
+REGIONS = ("north", "south", "west")
+CLIENT_PORT = 18080
+READY_PORT = 18081
+PEER_PORTS = (18090, 18099)
+TOKENS_PER_EVENT = 10
+MOST_TOKENS = EVENTS * TOKENS_PER_EVENT
+RETENTION_S = 60.0
+GRACE_S = 4.0
+
+
+class ProgramProcess:
+    """One role that is started again whenever it ends, as the platform does.
+
+    Parameters
+    ----------
+    role : str
+        ``entry`` or ``storage``.
+    number : int
+        Number within the role; it gives the address.
+    folder : Path
+        Folder of settings, disk and log.
+    store_address : str
+        Address of the metadata store.
+    """
+
+    def __init__(
+        self, *, role: str, number: int, folder: Path, store_address: str
+    ) -> None:
+        self.role = role
+        self.name = f"{role}-{number}"
+        octet = 1 if role == "entry" else 2
+        # Each machine has its own loopback address, so that ports are the same.
+        # Runs side by side take different networks.
+        network = 10 + os.getpid() % 200
+        self.ip = f"127.{network}.{octet}.{number + 1}"
+        self.region = REGIONS[number % len(REGIONS)]
+        self.process: asyncio.subprocess.Process | None = None
+        self._folder = folder / self.name
+        self._store_address = store_address
+        self._first_start = True
+        self._folder.mkdir(parents=True)
+
+    async def start(self) -> None:
+        """Start the process with its settings."""
+        settings = self._folder / "settings.toml"
+        settings.write_text(self._settings(), encoding="utf-8")
+        self._first_start = False
+        with (self._folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "lentilroad.platform",
+                self.role,
+                "--settings",
+                str(settings),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals) -> None:
+        """End the process with a signal and wait until it is gone."""
+        if self.process is None:
+            return
+        self.send(number)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    def wipe(self) -> None:
+        """Empty the disk of a process that is not running."""
+        shutil.rmtree(self._folder / "disk", ignore_errors=True)
+
+    def _settings(self) -> str:
+        zones = "\n".join(f'{region}-a = "{region}"' for region in REGIONS)
+        first = "true" if self._first_start else "false"
+        return f"""NodeName = "{self.name}"
+IpAddress = "{self.ip}"
+Zone = "{self.region}-a"
+Region = "{self.region}"
+InternalPortRange = [{PEER_PORTS[0]}, {PEER_PORTS[1]}]
+Bootstrap = {first}
+DataDirectory = "{self._folder / "disk"}"
+[Zones]
+{zones}
+[ListenAddresses]
+Frontend = "{self.ip}:{CLIENT_PORT}"
+Ready = "{self.ip}:{READY_PORT}"
+[Limits]
+MemoryMb = 256
+DiskMb = 64
+[FaultTolerance]
+Machines = 1
+[Bounds]
+DrainMs = 2500
+GracePeriodS = {GRACE_S}
+ConfigApplyMs = 2500
+CatchUpS = 4.4
+PassMs = 250
+[Platform]
+Address = "{self._store_address}"
+"""
+
+
+class World:
+    """All processes and stand-ins of one run.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of settings, disks and logs; logs stay after the run.
+    source : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(self, *, folder: Path, source: random.Random) -> None:
+        self.store = StoreStandIn()
+        self.log = RunLog()
+        self.entries: list[ProgramProcess] = []
+        self.storages: list[ProgramProcess] = []
+        self.workers: list[WorkerStandIn] = []
+        self._folder = folder
+        self._source = source
+
+    async def start(self, *, entries: int = 3, storages: int = 3) -> None:
+        """Start everything and write the first configuration."""
+        await self.store.start("127.0.0.1", 0)
+        for number in range(4):
+            worker = WorkerStandIn(
+                instance_id=f"i-{number}", log=self.log, source=self._source
+            )
+            await worker.start("127.0.0.1")
+            self.workers.append(worker)
+            await self.store.put(f"servers/i-{number}", _worker_entry(worker, number))
+        await self.store.put("op/config", configuration(version=1))
+        for role, count, into in (
+            ("storage", storages, self.storages),
+            ("entry", entries, self.entries),
+        ):
+            for number in range(count):
+                process = ProgramProcess(
+                    role=role,
+                    number=number,
+                    folder=self._folder,
+                    store_address=self.store.address,
+                )
+                into.append(process)
+                await process.start()
+
+    async def close(self) -> None:
+        """End all processes that this run started."""
+        everyone = [*self.entries, *self.storages]
+        for process in everyone:
+            process.send(signal.SIGCONT)
+        await asyncio.gather(*(p.end(signal.SIGKILL) for p in everyone))
+        for worker in self.workers:
+            worker.close()
+        await self.store.close()
+
+
+def configuration(*, version: int) -> bytes:
+    """Return the operators' configuration."""
+    routes = [
+        {
+            "Name": kind,
+            "Host": "soak.example",
+            "Prefix": prefix,
+            "Kind": kind,
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 250,
+            "Attempts": 2,
+            "Service": "svc",
+            "RetainConversation": kind == "streaming",
+            "RetentionS": RETENTION_S,
+        }
+        for kind, prefix in (
+            ("streaming", "/turn/"),
+            ("non_idempotent", "/charge/"),
+            ("idempotent", "/read/"),
+        )
+    ]
+    engine = {"Slots": 8, "TokensPerEvent": TOKENS_PER_EVENT}
+    return json.dumps(
+        {
+            "Version": version,
+            "Routes": routes,
+            "Services": [{"Name": "svc", "Engine": engine}],
+        }
+    ).encode()
+
+
+def _worker_entry(worker: WorkerStandIn, number: int) -> bytes:
+    region = REGIONS[number % len(REGIONS)]
+    return json.dumps(
+        {
+            "Service": "svc",
+            "Address": worker.address,
+            "Zone": f"{region}-a",
+            "Slots": 8,
+            "State": "ready",
+            "Sequence": 1,
+            "born": 1,
+        }
+    ).encode()
--- /dev/null
+++ b/lentilroad/standins/platform_worker.py
@@ -0,0 +1,135 @@
+"""Stand-in of the platform's workers that remembers what it ran."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+EVENTS = 3
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One request that a worker began to work on."""
+
+    request_id: str
+    target: str
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True)
+class RunLog:
+    """Everything that all workers ran."""
+
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+
+    def add(self, run: Run) -> None:
+        """Remember one run."""
+        self.runs.setdefault(run.request_id, []).append(run)
+
+
+class WorkerStandIn:
+    """One worker: streams events under ``/turn/``, answers whole bodies elsewhere.
+
+    Parameters
+    ----------
+    instance_id : str
+        Id that requests must expect.
+    log : RunLog
+        Where runs are noted.
+    source : random.Random
+        Source of faults.
+    """
+
+    def __init__(self, *, instance_id: str, log: RunLog, source: random.Random) -> None:
+        self.instance_id = instance_id
+        self.address = ""
+        # Share of answers that are lost after the request has run.
+        self.lost_share = 0.0
+        self._log = log
+        self._source = source
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        found_host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{found_host}:{port}"
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (line.partition(":") for line in lines[1:])
+                }
+                size = int(headers.get("content-length", 0))
+                body = await reader.readexactly(size)
+                if not await self._answer(lines[0], headers, body, writer):
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # The caller closed the connection.
+        writer.close()
+
+    async def _answer(
+        self,
+        line: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request_id = headers["lentilroad-attempt-id"]
+        common = (
+            f"Lentilroad-Attempt-Id: {request_id}\r\n"
+            f"Lentilroad-Instance-Id: {self.instance_id}\r\n"
+        )
+        if headers.get("lentilroad-expected-instance") != self.instance_id:
+            writer.write(
+                f"HTTP/1.1 421 Wrong\r\n{common}Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
+        target = line.split(" ")[1]
+        self._log.add(Run(request_id=request_id, target=target, body=body))
+        await asyncio.sleep(self._source.uniform(0.005, 0.05))
+        if self._source.random() < self.lost_share:
+            return False
+        sealed = (
+            f"HTTP/1.1 200 OK\r\n{common}Lentilroad-Response-Seal: {request_id}\r\n"
+        )
+        if not target.startswith("/turn/"):
+            answer = f"answer {request_id}".encode()
+            writer.write(
+                f"{sealed}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
+            )
+            return True
+        writer.write(f"{sealed}Transfer-Encoding: chunked\r\n\r\n".encode())
+        for number in range(EVENTS):
+            event = f"id: {number + 1}\ndata: {event_text(request_id, number)}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def event_text(request_id: str, number: int) -> str:
+    """Return the data of one event of a turn."""
+    return f"{request_id}-{number}"
+
+
+def turn_output(request_id: str) -> bytes:
+    """Return what a turn adds to its conversation after its input."""
+    return b"".join(
+        event_text(request_id, number).encode() + b"\n" for number in range(EVENTS)
+    )
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
-from aiohttp import web
 
 from lentilroad.clock import SystemClock
 from lentilroad.platform.metadata import (
@@ -20,116 +18,17 @@
     WriteConflictError,
     follow_prefix,
 )
-
-
-class StoreStandIn:
-    """Metadata store in memory.
-
-    Attributes
-    ----------
-    forgotten : int
-        Revision before which the history is gone.
-    refusing : bool
-        Whether all calls get 503.
-    """
-
-    def __init__(self) -> None:
-        self.revision = 1
-        self.items: dict[str, dict] = {}
-        self.events: list[dict] = []
-        self.forgotten = 0
-        self.refusing = False
-        self.changed = asyncio.Condition()
-        self.address = ""
-
-    async def put(self, key: str, value: bytes) -> None:
-        """Write a key as the operator does."""
-        self.revision += 1
-        item = {
-            "Key": key,
-            "Value": base64.b64encode(value).decode(),
-            "Revision": self.revision,
-            "CreatedRev": self.revision,
-            "Lease": 0,
-        }
-        self.items[key] = item
-        await self._tell(item)
-
-    async def remove(self, key: str) -> None:
-        """Remove a key."""
-        self.revision += 1
-        del self.items[key]
-        await self._tell({"Key": key, "Revision": self.revision, "Removed": True})
-
-    async def _tell(self, event: dict) -> None:
-        self.events.append(event)
-        async with self.changed:
-            self.changed.notify_all()
-
-    async def range(self, request: web.Request) -> web.Response:
-        """Answer one page of a prefix."""
-        if self.refusing:
-            return web.Response(status=503)
-        prefix = request.query["Prefix"]
-        after = request.query.get("after", "")
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = [self.items[key] for key in keys[:2]]
-        return web.json_response(
-            {
-                "items": page,
-                "MorePages": len(keys) > 2,
-                "CurrentRev": self.revision,
-            }
-        )
-
-    async def watch(self, request: web.Request) -> web.Response:
-        """Answer as soon as there are changes."""
-        if self.refusing:
-            return web.Response(status=503)
-        after = int(request.query["after"])
-        if after < self.forgotten:
-            return web.Response(status=410)
-        prefix = request.query["Prefix"]
-
-        def found() -> list[dict]:
-            return [
-                event
-                for event in self.events
-                if event["Revision"] > after and event["Key"].startswith(prefix)
-            ]
-
-        async with self.changed:
-            await asyncio.wait_for(self.changed.wait_for(found), 5.0)
-        return web.json_response({"events": found(), "CurrentRev": self.revision})
-
-    async def transact(self, request: web.Request) -> web.Response:
-        """Write under conditions."""
-        asked = await request.json()
-        for row in asked["Expected"]:
-            item = self.items.get(row["Key"])
-            if (item["Revision"] if item else 0) != row["Revision"]:
-                return web.json_response({"items": []}, status=412)
-        for row in asked["Writes"]:
-            await self.put(row["Key"], base64.b64decode(row["Value"]))
-        return web.json_response({"Revision": self.revision})
+from lentilroad.standins.platform_store import StoreStandIn
 
 
 @asynccontextmanager
 async def _store() -> AsyncIterator[tuple[StoreStandIn, MetadataClient]]:
     store = StoreStandIn()
-    app = web.Application()
-    app.router.add_get("/kv-range", store.range)
-    app.router.add_get("/kv-watch", store.watch)
-    app.router.add_post("/kv-txn", store.transact)
-    runner = web.AppRunner(app, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    host, port = runner.addresses[0][:2]
-    client = MetadataClient(address=f"{host}:{port}", clock=SystemClock())
+    await store.start("127.0.0.1", 0)
+    client = MetadataClient(address=store.address, clock=SystemClock())
     yield store, client
     client.close()
-    await runner.cleanup()
+    await store.close()
 
 
 async def test_all_pages_are_read() -> None:
