--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -32,7 +32,8 @@
 from lentilroad.soak.programs import Caller, Findings
 from lentilroad.soak.world import ProgramProcess, World, configuration
 
-FORMING_S = 3.0
+# A busy machine takes many seconds to start six processes.
+START_TIMEOUT_S = 120.0
 # The bound on catching up; another disk may be lost after it.
 CATCH_UP_S = 4.4
 SETTLE_S = 2.0
@@ -47,7 +48,7 @@
     caller = Caller(world=world, source=source)
     try:
         await world.start()
-        await asyncio.sleep(FORMING_S)
+        await world.wait_ready(START_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             faults = asyncio.create_task(_inject(world, source))
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -11,6 +11,8 @@
 import sys
 from pathlib import Path
 
+import aiohttp
+
 from lentilroad.standins.platform_store import StoreStandIn
 from lentilroad.standins.platform_worker import EVENTS, RunLog, WorkerStandIn
 
@@ -22,6 +24,7 @@
 MOST_TOKENS = EVENTS * TOKENS_PER_EVENT
 RETENTION_S = 60.0
 GRACE_S = 4.0
+READY_POLL_S = 0.1
 
 
 class ProgramProcess:
@@ -170,6 +173,16 @@
                 into.append(process)
                 await process.start()
 
+    async def wait_ready(self, timeout_s: float) -> None:
+        """Wait until every entry is ready; raises `TimeoutError`."""
+        async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+            for entry in self.entries:
+                url = f"http://{entry.ip}:{READY_PORT}/readiness"
+                while True:
+                    if await _is_ready(session, url):
+                        break
+                    await asyncio.sleep(READY_POLL_S)
+
     async def close(self) -> None:
         """End all processes that this run started."""
         everyone = [*self.entries, *self.storages]
@@ -181,6 +194,15 @@
         await self.store.close()
 
 
+async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        # The process does not listen yet.
+        return False
+
+
 def configuration(*, version: int) -> bytes:
     """Return the operators' configuration."""
     routes = [
