Note silent instances again, and refuse only what has not run

A failed connection before a lost answer made 503 of it, which promises that nothing has run; so did a lookup that no second instance could take.

Change: answers and their absence are noted; a lookup moves on after the usual response time of its instance; possible runs are counted apart from refusals; lapses are kept for two seconds after an outage; readiness asks for the list. Ruled out: load (30 to 60 percent of the places were free).

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -15,6 +15,12 @@
 RESPONSE_TIME_WEIGHT = 0.2
 # The same for its share of failures: about the last 15 requests.
 FAILURE_WEIGHT = 0.07
+# Response time that is assumed before the first answer of an instance.
+DEFAULT_RESPONSE_S = 0.15
+# An instance without any answer for this long, and for this many of its usual
+# response times, gets no further work while others can take it.
+SILENT_AFTER_S = 0.35
+SILENT_RESPONSES = 3.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -66,11 +72,11 @@
     failures: int = 0
     excluded_until_s: float = 0.0
     response_s: float = 0.0
-    lapsed_at_s: float | None = None
+    lapsed: bool = False
     gone: bool = False
     failure_share: float = 0.0
-    # Monotonic times at which requests were sent that have no answer yet.
-    unanswered: dict[int, float] = field(default_factory=dict)
+    # Monotonic times at which requests were sent that have no answer yet, by request.
+    unanswered: dict[str, float] = field(default_factory=dict)
     last_answer_s: float = float("-inf")
     recent_parts: dict[str, float] = field(default_factory=dict)
 
@@ -82,21 +88,30 @@
             and self.excluded_until_s <= now_s
         )
 
-    def note_sent(self, number: int, now_s: float) -> None:
+    def note_sent(self, request_id: str, now_s: float) -> None:
         """Note a request that waits for its answer."""
-        self.unanswered[number] = now_s
+        self.unanswered[request_id] = now_s
 
-    def note_answer(self, number: int, now_s: float) -> None:
+    def note_answer(self, request_id: str, now_s: float) -> None:
         """Note the first bytes of an answer."""
-        self.unanswered.pop(number, None)
+        self.unanswered.pop(request_id, None)
         self.last_answer_s = now_s
 
-    def silent_s(self, now_s: float) -> float:
-        """Return for how long requests have waited without any answer."""
+    def note_given_up(self, request_id: str) -> None:
+        """Note that nobody waits for an answer any more."""
+        self.unanswered.pop(request_id, None)
+
+    def patience_s(self) -> float:
+        """Return how long an answer may take before its absence counts."""
+        response_s = self.response_s or DEFAULT_RESPONSE_S
+        return max(SILENT_AFTER_S, SILENT_RESPONSES * response_s)
+
+    def silent(self, now_s: float) -> bool:
+        """Return whether requests wait and no answer came for too long."""
         if not self.unanswered:
-            return 0.0
+            return False
         oldest_s = next(iter(self.unanswered.values()))
-        return now_s - max(oldest_s, self.last_answer_s)
+        return now_s - max(oldest_s, self.last_answer_s) > self.patience_s()
 
     def note_outcome(self, *, failed: bool) -> None:
         """Count a request as failed or served."""
@@ -121,35 +136,35 @@
         Source of time.
     """
 
-    __slots__ = ("_by_id", "_by_service", "_clock", "_listed_after_outage_s")
+    __slots__ = ("_by_id", "_by_service", "_clock", "_lapse_grace_until_s", "listed")
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._by_id: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
-        self._listed_after_outage_s = float("-inf")
+        self._lapse_grace_until_s = float("-inf")
+        # Whether the whole list was read at least once.
+        self.listed = False
 
-    def replace_all(self, instances: list[UpstreamInstance]) -> None:
-        """Take over a whole list.
+    def note_store_regained(self) -> None:
+        """Keep instances whose entries lapsed while the store was away for a while."""
+        self._lapse_grace_until_s = self._clock.monotonic_s() + LAPSE_GRACE_S
 
-        Instances that are missing stay usable for `LAPSE_GRACE_S`: their entries may
-        have lapsed while the store was away.
-        """
-        now_s = self._clock.monotonic_s()
+    def replace_all(self, instances: list[UpstreamInstance]) -> None:
+        """Take over a whole list; instances that it lacks are removed."""
+        self.listed = True
         listed = {instance.instance_id for instance in instances}
-        self._listed_after_outage_s = now_s
         for instance in instances:
             self.update(instance)
-        for state in list(self._by_id.values()):
-            if state.instance.instance_id not in listed and state.lapsed_at_s is None:
-                state.lapsed_at_s = now_s
-        self.sweep()
+        for instance_id in list(self._by_id):
+            if instance_id not in listed:
+                self.remove(instance_id)
 
     def update(self, instance: UpstreamInstance) -> None:
         """Add or change one instance."""
         state = self._by_id.get(instance.instance_id)
         if state is not None and state.instance == instance:
-            state.lapsed_at_s = None
+            state.lapsed = False
             return
         if (
             state is not None
@@ -161,7 +176,7 @@
                 # from a copy that is seconds old.
                 return
             state.instance = instance
-            state.lapsed_at_s = None
+            state.lapsed = False
         else:
             if state is not None:
                 self._remove(state)
@@ -179,21 +194,26 @@
             draining=instance.draining,
         )
 
-    def remove(self, instance_id: str, *, store_was_away: bool = False) -> None:
-        """Forget an instance whose entry was removed."""
+    def remove(self, instance_id: str) -> None:
+        """Forget an instance whose entry was removed.
+
+        It stays usable until `LAPSE_GRACE_S` after the store's return, since its entry
+        may have lapsed meanwhile.
+        """
         state = self._by_id.get(instance_id)
         if state is None:
             return
-        if store_was_away:
-            state.lapsed_at_s = state.lapsed_at_s or self._clock.monotonic_s()
+        if self._clock.monotonic_s() < self._lapse_grace_until_s:
+            state.lapsed = True
             return
         self._remove(state)
 
     def sweep(self) -> None:
         """Remove instances whose entries did not come back in time."""
-        limit_s = self._clock.monotonic_s() - LAPSE_GRACE_S
+        if self._clock.monotonic_s() < self._lapse_grace_until_s:
+            return
         for state in list(self._by_id.values()):
-            if state.lapsed_at_s is not None and state.lapsed_at_s <= limit_s:
+            if state.lapsed:
                 self._remove(state)
 
     def instances(self, service: str) -> list[UpstreamState]:
--- a/lentilroad/platform/metadata.py
+++ b/lentilroad/platform/metadata.py
@@ -25,6 +25,8 @@
 WATCH_GRACE_S = 2.0
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 1.0
+# Leases run for several seconds; none lapses while the store is away for less.
+OUTAGE_LEAST_S = 1.0
 
 
 class MetadataError(LentilroadError):
@@ -234,6 +236,7 @@
     clock: Clock,
     on_listing: Callable[[Listing], None],
     on_change: Callable[[StoredItem], None],
+    on_regained: Callable[[], None] | None = None,
     pause_s: float = 0.0,
 ) -> None:
     """Keep a view of all items below `prefix` up to date; never returns.
@@ -250,6 +253,8 @@
         Gets all items, at the start and whenever changes may have been missed.
     on_change : callable
         Gets each later change.
+    on_regained : callable, optional
+        Called when the store answers after an outage, before what it answers.
     pause_s : float
         Seconds between an answer and the next watch, so that changes in quick
         succession take one call.
@@ -257,23 +262,33 @@
     revision: int | None = None
     delay_s = RETRY_FIRST_S
     lost_at_s: float | None = None
+
+    def note_answer() -> None:
+        nonlocal lost_at_s
+        if lost_at_s is None:
+            return
+        away_s = clock.monotonic_s() - lost_at_s
+        log_event("metadata_regained", prefix=prefix, away_s=round(away_s, 3))
+        lost_at_s = None
+        if on_regained is not None and away_s >= OUTAGE_LEAST_S:
+            on_regained()
+
     while True:
         try:
             if revision is None:
                 listing = await client.read_prefix(prefix)
+                note_answer()
                 revision = listing.revision
                 on_listing(listing)
             changes, revision = await client.watch(prefix, revision)
-            if lost_at_s is not None:
-                away_s = clock.monotonic_s() - lost_at_s
-                log_event("metadata_regained", prefix=prefix, away_s=round(away_s, 3))
-                lost_at_s = None
+            note_answer()
             delay_s = RETRY_FIRST_S
             for change in changes:
                 on_change(change)
             if changes:
                 await clock.sleep(pause_s)
         except HistoryLostError:
+            note_answer()
             log_event("metadata_history_lost", prefix=prefix, revision=revision)
             revision = None
         except MetadataError as error:
--- a/lentilroad/platform/roles.py
+++ b/lentilroad/platform/roles.py
@@ -115,7 +115,12 @@
     telemetry.gauge("metadata_calls", lambda: metadata.calls)
 
     def ready() -> tuple[int, str]:
-        serving = state.table is not None and not state.stopping and storage.available()
+        serving = (
+            state.table is not None
+            and directory.listed
+            and storage.available()
+            and not state.stopping
+        )
         return (200, "ready") if serving else (503, "not ready")
 
     runner = await serve_callers(settings.client_address, ingress, state)
@@ -139,6 +144,7 @@
             clock=clock,
             on_listing=lambda listing: _list_workers(listing, directory, dispatcher),
             on_change=lambda item: _change_worker(item, directory, dispatcher),
+            on_regained=directory.note_store_regained,
             pause_s=WORKER_WATCH_PAUSE_S,
         ),
         follow_prefix(
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -94,8 +94,6 @@
 HEDGE_OPERATIONS_MAX = 1_000
 
 # Requests to upstream services over the platform's wire.
-# Response time that is assumed before the first answer of an instance.
-DEFAULT_RESPONSE_S = 0.15
 # A round trip to another zone takes 2 ms and one to another region 24 ms; the rest
 # weighs the billed bytes of a conversation against time.
 OTHER_ZONE_COST_S = 0.008
@@ -109,10 +107,6 @@
 RETRY_AFTER_MOST_S = 0.5
 # A failed request costs its caller a retry after 0.1 to 0.4 s and the work done.
 FAILURE_COST_S = 0.8
-# An instance without any answer for this long, and for this many of its usual
-# response times, gets no further work while others can take it.
-SILENT_AFTER_S = 0.35
-SILENT_RESPONSES = 3.0
 # An answer must be written before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.02
 # Instances that answered that they have not run a request are tried in turn.
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -11,10 +11,13 @@
 from lentilroad.clock import Clock
 from lentilroad.errors import OverloadedError, UnavailableError
 from lentilroad.membership.rendezvous import score
-from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
+from lentilroad.membership.upstreams import (
+    DEFAULT_RESPONSE_S,
+    UpstreamDirectory,
+    UpstreamState,
+)
 from lentilroad.request.const import (
     CACHED_PART_LIFETIME_S,
-    DEFAULT_RESPONSE_S,
     FAILURE_COST_S,
     MOST_CACHED_PARTS,
     OTHER_REGION_COST_S,
@@ -22,8 +25,6 @@
     PREFILL_COST_S_PER_TOKEN,
     RETRY_AFTER_LEAST_S,
     RETRY_AFTER_MOST_S,
-    SILENT_AFTER_S,
-    SILENT_RESPONSES,
 )
 
 
@@ -113,6 +114,16 @@
             self._forget(waiter)
             raise
 
+    def has_other(self, work: Work, state: UpstreamState) -> bool:
+        """Return whether another instance than `state` could take the work now."""
+        now_s = self._clock.monotonic_s()
+        return any(
+            other is not state
+            and other.in_flight < other.instance.slots
+            and not other.silent(now_s)
+            for other in self._usable(work)
+        )
+
     def release(self, state: UpstreamState) -> None:
         """Give a place back."""
         state.in_flight -= 1
@@ -175,8 +186,7 @@
             cost_s += OTHER_ZONE_COST_S
         response_s = state.response_s or DEFAULT_RESPONSE_S
         cost_s += FAILURE_COST_S * state.failure_share
-        silent_s = state.silent_s(self._clock.monotonic_s())
-        if silent_s > max(SILENT_AFTER_S, SILENT_RESPONSES * response_s):
+        if state.silent(self._clock.monotonic_s()):
             cost_s += FAILURE_COST_S
         cost_s += response_s * state.in_flight / max(1, state.instance.slots)
         if state.instance.instance_id != work.preferred:
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -69,7 +69,10 @@
     due_s: float
     began_s: float
     request: web.BaseRequest
+    # Requests written to instances, and those of them without proof of not running.
     sends: int = 0
+    possible_runs: int = 0
+    # Instances that stated that they have not run it, or could not be reached.
     refusals: int = 0
     instance_id: str = ""
     held: UpstreamState | None = None
@@ -173,6 +176,18 @@
                 InvalidRequestError(f"the request cannot be read ({error})"),
                 began_s,
             )
+        except asyncio.CancelledError:
+            # aiohttp cancels the handler when the caller's connection is lost.
+            log_event(
+                "caller_left",
+                request=request_id,
+                instance=exchange.instance_id if exchange is not None else "",
+                sends=exchange.sends if exchange is not None else 0,
+                started=exchange is not None and exchange.started,
+                elapsed_ms=self._elapsed_ms(began_s),
+            )
+            self._telemetry.count("callers_left")
+            raise
 
     def _route(
         self,
@@ -209,7 +224,7 @@
                     return await self._serve_turn(exchange)
                 return await self._serve_stream(exchange, exchange.inbound.body, None)
         except TimeoutError as error:
-            if exchange.sends > exchange.refusals:
+            if exchange.possible_runs:
                 raise DeadlineExceededError(
                     f"{exchange.service} did not answer in time", outcome="unknown"
                 ) from error
@@ -283,10 +298,15 @@
         )
         while True:
             work.left_s = exchange.due_s - self._clock.monotonic_s()
-            state = await self._dispatcher.acquire(work)
+            state = await self._acquire(exchange, work)
             exchange.held = state
+            movable = (
+                repeatable
+                and self._sends_left(exchange) > 1
+                and self._dispatcher.has_other(work, state)
+            )
             try:
-                return await self._attempt(exchange, state, body, read)
+                return await self._attempt(exchange, state, body, read, movable)
             except NotExecutedError:
                 exchange.refusals += 1
                 if exchange.refusals > MOST_REFUSALS:
@@ -315,13 +335,25 @@
                 self._release(exchange)
             work.excluded.add(state.instance.instance_id)
 
+    async def _acquire(self, exchange: _Exchange, work: Work) -> UpstreamState:
+        try:
+            return await self._dispatcher.acquire(work)
+        except (UnavailableError, OverloadedError) as error:
+            if exchange.possible_runs == 0:
+                raise
+            # A refusal would promise that the sends before have not run.
+            raise UpstreamError(
+                f"{exchange.service} did not answer, and no other instance is free",
+                outcome="unknown",
+            ) from error
+
     def _release(self, exchange: _Exchange) -> None:
         if exchange.held is not None:
             self._dispatcher.release(exchange.held)
             exchange.held = None
 
     def _sends_left(self, exchange: _Exchange) -> int:
-        return exchange.route.attempts - (exchange.sends - exchange.refusals)
+        return exchange.route.attempts - exchange.possible_runs
 
     async def _attempt(
         self,
@@ -329,6 +361,7 @@
         state: UpstreamState,
         body: bytes,
         read: Callable,
+        movable: bool,
     ) -> object:
         inbound = exchange.inbound
         instance = state.instance
@@ -339,6 +372,7 @@
         log_event(
             "request_sent",
             request=inbound.request_id,
+            program=inbound.program_id,
             instance=instance.instance_id,
             service=instance.service,
             in_flight=state.in_flight,
@@ -348,14 +382,23 @@
         )
         async with state.pool.connection() as connection:
             exchange.sends += 1
-            head = await connection.exchange(
-                head_bytes,
-                body,
-                expects=lambda found: self._protocol.belongs(inbound.request_id, found),
+            exchange.possible_runs += 1
+            head = await self._response_head(
+                exchange,
+                state,
+                connection.exchange(
+                    head_bytes,
+                    body,
+                    expects=lambda found: self._protocol.belongs(
+                        inbound.request_id, found
+                    ),
+                ),
+                movable=movable,
             )
             state.pool.note_keep_alive(connection, head)
             facts = self._protocol.facts(head)
             if facts.not_run:
+                exchange.possible_runs -= 1
                 await self._read_whole(connection, head)
                 if facts.wrong_instance:
                     self._exclude(state, EXCLUDE_WRONG_INSTANCE_S, "wrong instance")
@@ -386,6 +429,51 @@
         state.note_response(self._clock.monotonic_s() - sent_s)
         return answer
 
+    async def _response_head(
+        self,
+        exchange: _Exchange,
+        state: UpstreamState,
+        receive: Awaitable[ResponseHead],
+        *,
+        movable: bool,
+    ) -> ResponseHead:
+        """Wait for the first bytes of an answer, and note their absence.
+
+        A request that may go to another instance waits only as long as answers of
+        this one usually take.
+        """
+        request_id = exchange.inbound.request_id
+        sent_s = self._clock.monotonic_s()
+        patience_s = state.patience_s()
+        state.note_sent(request_id, sent_s)
+        try:
+            async with asyncio.timeout(patience_s if movable else None):
+                head = await receive
+        except TimeoutError as error:
+            self._exclude_silent(state)
+            raise ExchangeBrokenError(
+                f"no answer within {patience_s:.3f} s", request_written=True
+            ) from error
+        except asyncio.CancelledError:
+            if self._clock.monotonic_s() - sent_s > patience_s:
+                state.note_outcome(failed=True)
+                self._exclude_silent(state)
+            raise
+        except ExchangeBrokenError as error:
+            if not error.request_written:
+                exchange.possible_runs -= 1
+            raise
+        finally:
+            state.note_given_up(request_id)
+        state.note_answer(request_id, self._clock.monotonic_s())
+        return head
+
+    def _exclude_silent(self, state: UpstreamState) -> None:
+        now_s = self._clock.monotonic_s()
+        # Of several requests that wait in vain, the first one is enough.
+        if state.silent(now_s) and state.excluded_until_s <= now_s:
+            self._exclude(state, _exclusion_s(state), "no answer")
+
     async def _read_whole(
         self, connection: HttpConnection, head: ResponseHead
     ) -> _WholeAnswer:
--- a/tests/membership/test_upstreams.py
+++ b/tests/membership/test_upstreams.py
@@ -27,6 +27,7 @@
 def test_entry_that_lapsed_with_the_store_is_used_until_two_seconds_after() -> None:
     """Guard against a sound instance that is dropped while the store was away."""
     directory, clock = _directory()
+    directory.note_store_regained()
     directory.replace_all([])
     clock.now_s = 1.9
     directory.sweep()
@@ -36,10 +37,31 @@
     assert not directory.instances("svc")
 
 
+def test_removal_that_is_reported_after_an_outage_waits_like_a_missing_entry() -> None:
+    """Guard against lapses that a watch reports as removals after the outage."""
+    directory, clock = _directory()
+    directory.note_store_regained()
+    directory.remove("i-1")
+    clock.now_s = 1.9
+    directory.sweep()
+    assert directory.instances("svc")
+    clock.now_s = 2.0
+    directory.sweep()
+    assert not directory.instances("svc")
+
+
+def test_list_that_is_read_again_without_an_outage_ends_work_at_once() -> None:
+    """Guard against work for an instance that left while history was lost (DRAIN)."""
+    directory, _ = _directory()
+    directory.replace_all([])
+    assert not directory.instances("svc")
+
+
 def test_entry_that_comes_back_in_time_stays() -> None:
     """Guard against connections that are closed for a lapse alone."""
     directory, clock = _directory()
     state = directory.find("i-1")
+    directory.note_store_regained()
     directory.replace_all([])
     clock.now_s = 1.0
     directory.update(INSTANCE)
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -111,3 +111,42 @@
         await store.remove("op/other")
         await expect({"op/config": b"3"})
         task.cancel()
+
+
+@pytest.mark.parametrize(("away_s", "told"), [(0.2, False), (1.3, True)])
+async def test_outage_in_which_leases_may_lapse_is_told_before_the_changes(
+    away_s: float, told: bool
+) -> None:
+    """Guard against lapsed entries that are taken for instances that left."""
+    async with _store() as (store, client):
+        seen: list[str] = []
+        ready = asyncio.Event()
+
+        def note(item: StoredItem) -> None:
+            seen.append("removed" if item.removed else item.key)
+            ready.set()
+
+        task = asyncio.create_task(
+            follow_prefix(
+                client,
+                "servers/",
+                clock=SystemClock(),
+                on_listing=lambda listing: ready.set(),
+                on_change=note,
+                on_regained=lambda: seen.append("regained"),
+            )
+        )
+        await ready.wait()
+        store.refusing = True
+        # The watch that is open ends with the next change.
+        await store.put("servers/x", b"1")
+        await asyncio.sleep(away_s)
+        await store.remove("servers/x")
+        store.refusing = False
+        async with asyncio.timeout(5.0):
+            while "removed" not in seen:
+                await asyncio.sleep(0.02)
+        task.cancel()
+        assert ("regained" in seen) is told
+        if told:
+            assert seen.index("regained") < seen.index("removed")
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -131,13 +131,13 @@
     async def run() -> None:
         bench = _Bench(["a", "a"], slots=8)
         silent = await bench.take()
-        silent.note_sent(1, bench.clock.monotonic_s())
+        silent.note_sent("r1", bench.clock.monotonic_s())
         await bench.clock.sleep(1.0)
         for _ in range(6):
             state = await bench.take()
             assert state is not silent
-        silent.note_answer(1, bench.clock.monotonic_s())
-        assert silent.silent_s(bench.clock.monotonic_s()) == 0.0
+        silent.note_answer("r1", bench.clock.monotonic_s())
+        assert not silent.silent(bench.clock.monotonic_s())
 
     run_virtual(run())
 
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -13,7 +13,11 @@
 
 from lentilroad.clock import SystemClock
 from lentilroad.conversation.turns import Turns
-from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
+from lentilroad.membership.upstreams import (
+    SILENT_AFTER_S,
+    UpstreamDirectory,
+    UpstreamInstance,
+)
 from lentilroad.platform.requests import decode_request, worker_protocol
 from lentilroad.process.gateway import GatewayState, drain, serve_callers
 from lentilroad.process.telemetry import Telemetry
@@ -330,6 +334,81 @@
     assert status == 504
 
 
+async def test_unreachable_worker_first_does_not_make_a_lost_answer_a_refusal() -> None:
+    """Guard against 503 for a request that may have run at a second worker (REFUSED)."""
+
+    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5.0)
+
+    async with (
+        raw_server(hang) as hanging,
+        _gateway(["127.0.0.1:1", hanging.address], timeout_s=0.3) as gateway,
+    ):
+        status, _, _ = await _call(gateway, "/non_idempotent/x", "POST")
+        assert len(hanging.requests) == 1
+    assert status == 504
+
+
+async def test_lookup_that_no_other_worker_can_take_is_not_refused_as_not_run() -> None:
+    """Guard against an untrue 503 after a send whose answer was lost."""
+
+    async def lose(request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        return True
+
+    async with raw_server(lose) as worker, _gateway([worker.address]) as gateway:
+        status, _, _ = await _call(gateway, "/idempotent/x")
+    assert status == 502
+
+
+async def test_hanging_worker_delays_an_idempotent_request_only_briefly() -> None:
+    """Guard against a lookup that waits for its deadline at a worker that hangs."""
+
+    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5.0)
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(_answering(request))
+
+    async with (
+        raw_server(hang) as hanging,
+        raw_server(answer) as sound,
+        _gateway([hanging.address, sound.address]) as gateway,
+    ):
+        statuses = [
+            (await _call(gateway, "/idempotent/x", request_id=f"a{number}"))[0]
+            for number in range(6)
+        ]
+        assert statuses == [200] * 6
+        assert len(hanging.requests) <= 1
+
+
+async def test_worker_that_hangs_gets_no_further_work_after_the_caller_left() -> None:
+    """Guard against streams sent one after another to a worker that hangs."""
+
+    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5.0)
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(_answering(request))
+
+    async with (
+        raw_server(hang) as hanging,
+        raw_server(answer) as sound,
+        _gateway([hanging.address, sound.address]) as gateway,
+    ):
+        left = asyncio.create_task(_call(gateway, "/streaming/x", "POST"))
+        await asyncio.sleep(SILENT_AFTER_S + 0.25)
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        for number in range(4):
+            status, _, _ = await _call(
+                gateway, "/streaming/x", "POST", request_id=f"b{number}"
+            )
+            assert status == 200
+        assert len(hanging.requests) == 1
+
+
 async def test_entry_without_a_configuration_refuses() -> None:
     """Guard against a 404 from an entry that knows no route yet (DENIED)."""
     async with _gateway([], configured=False) as gateway:
