Count disks in repair as losses before a member is replaced

Cause: two emptied disks that came back while a third holder of a turn was down took the silent member's place, copied from each other and from members without the turn, and called themselves complete; a reader then got 404 for a turn that the silent disk still held (LOST).

Change: members that answer but are still being filled count as lost, both when a silent member is replaced and when a disk calls itself complete while a member is silent. New instances without a slot do not count, so that they can still take a lost member's place. Ruled out: asking all members always, since two new disks would then wait for each other for ever.

--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -237,18 +237,20 @@
             return
         self._member = present
         if not self._replica.complete:
-            silent = await self._silent_members()
-            if not await self._replace(silent):
-                await self._catch_up(silent)
+            silent, incomplete = await self._missing_members()
+            if not await self._replace(silent, incomplete):
+                await self._catch_up(silent, incomplete)
             return
         if present.slot is not None:
             return
         if free_slot(self._known.listed) is not None:
             await self._take_place([])
             return
-        await self._replace(await self._silent_members())
+        await self._replace(*await self._missing_members())
 
-    async def _catch_up(self, silent: list[Member]) -> None:
+    async def _catch_up(
+        self, silent: list[Member], incomplete: list[Member]
+    ) -> None:
         """Copy what the disk should hold from all other members.
 
         A member is read once: turns that are written after this disk joined lie on
@@ -272,7 +274,11 @@
             else:
                 self._pulled.add(member.disk_id)
         # A turn lies on one disk more than may be lost at once. Besides the replaced
-        # one, that many less one may be missing.
+        # one, that many less one may be missing. Other disks that were replaced and
+        # are not full yet are missing too; once all members answer, all that is left
+        # has been copied.
+        if failed:
+            failed += [member.node for member in incomplete]
         if len(failed) > max(0, self._losses - 1):
             log_event("storage_catch_up_waits", members=failed)
             return
@@ -296,26 +302,35 @@
             if batch.ledgers:
                 await self._replica.put_ledgers(PutLedgers(ledgers=batch.ledgers))
 
-    async def _silent_members(self) -> list[Member]:
+    async def _missing_members(self) -> tuple[list[Member], list[Member]]:
+        """Return the members without an answer, and those with a disk in repair."""
         others = self._others()
         now_s = self._clock.monotonic_s()
-        answers = await asyncio.gather(*(self._answers(member) for member in others))
+        replies = await asyncio.gather(*(self._probe(member) for member in others))
         silent = []
-        for member, answered in zip(others, answers, strict=True):
-            if answered:
+        incomplete = []
+        for member, reply in zip(others, replies, strict=True):
+            if reply is not None:
                 self._silent_since_s.pop(member.disk_id, None)
+                # Instances without a slot are new: their disks replace no other one.
+                if not reply.complete_disk and member.slot is not None:
+                    incomplete.append(member)
                 continue
             silent.append(member)
             self._silent_since_s.setdefault(member.disk_id, now_s)
-        return silent
+        return silent, incomplete
 
-    async def _replace(self, silent: list[Member]) -> bool:
+    async def _replace(self, silent: list[Member], incomplete: list[Member]) -> bool:
         """Take over from members that have not answered for some time.
 
         One that was only cut off finds itself left out and joins again with its disk.
         """
         # More silent members than may be lost mean that this instance is cut off.
-        if len(silent) > self._losses:
+        # Disks in repair are losses too: the last copy of a turn may be on a silent one.
+        lost = len(silent) + len(incomplete)
+        if not self._replica.complete and self._member.slot is not None:
+            lost += 1
+        if lost > self._losses:
             return False
         now_s = self._clock.monotonic_s()
         gone = [
@@ -355,14 +370,15 @@
             if member.disk_id != self._replica.disk_id
         ]
 
-    async def _answers(self, member: Member) -> bool:
+    async def _probe(self, member: Member) -> ProbeReply | None:
         try:
             reply: ProbeReply = await self._call(
                 member.address, PROBE, ProbeRequest(), timeout_s=MEMBER_PROBE_TIMEOUT_S
             )
         except (LentilroadError, TimeoutError):
-            return False
-        return reply.disk_id == member.disk_id
+            # It counts as silent; taking its place is logged.
+            return None
+        return reply if reply.disk_id == member.disk_id else None
 
     async def _hand_over(self) -> bool:
         known = await self._map_store.read()
--- a/tests/conversation/test_losses.py
+++ b/tests/conversation/test_losses.py
@@ -292,3 +292,31 @@
     return Allowances(
         reserve=client.reserve, confirm=client.confirm, clock=cluster.clock
     )
+
+
+def test_two_empty_disks_do_not_vouch_for_each_other() -> None:
+    """Guard against a 404 while the last disk with a turn is only away (LOST)."""
+
+    async def run() -> None:
+        cluster = await _formed(regions=["a", "a", "b", "b", "c", "c"], losses=2)
+        client = cluster.client("a")
+        await client.put_turn(turn("t"), key="p")
+        await cluster.clock.sleep(1.0)
+        holders = [node for node in cluster.nodes.values() if node.holds("t")]
+        assert len(holders) == 3
+        holders[2].kill()
+        for node in holders[:2]:
+            node.wipe()
+        await cluster.clock.sleep(0.5)
+        for node in holders[:2]:
+            node.start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        with pytest.raises(UnavailableError):
+            await client.read_chain("t", key="p")
+        holders[2].start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert (await client.read_chain("t", key="p"))[0].turn_id == "t"
+        assert holders[0].holds("t")
+        assert holders[1].holds("t")
+
+    run_virtual(run())
