Reach the storage members through another entry while the way is cut

Ruled out: engines and services, which had free places; the metadata store.

Change: entries tell the storage members where they are; an entry whose direct calls stay without an answer at more members than may be lost repeats them through another entry, after 0.2 s at first and at once later on. One silent member is no cut and is not relayed. All relayed calls may be executed twice.

Tests: tests/conversation/test_relay.py.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -102,6 +102,10 @@
         answering = sum(1 for member in members if member.disk_id not in self._down)
         return answering >= max(self._losses + 1, len(members) - self._losses)
 
+    def addresses(self) -> list[str]:
+        """Return the addresses of all members, the nearest first."""
+        return [member.address for member in self._nearest("")]
+
     async def probe_down_members(self) -> None:
         """Ask the members that failed whether they answer again."""
         down = [m for m in self._known.listed.members if m.disk_id in self._down]
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -41,3 +41,12 @@
 RESERVE_TRIES = 2
 # When a caller comes back after too few members answered.
 RETRY_AFTER_MS = 200
+# Members answer within 30 ms; one that takes longer may be cut off.
+RELAY_AFTER_S = 0.2
+# Entries that are asked at once while none is known to reach the members.
+RELAY_FANOUT = 3
+# A relay answers this much after its own call timed out: one way and back.
+RELAY_MARGIN_S = 0.05
+# Entries tell the storage members where they are at this interval.
+ANNOUNCE_INTERVAL_S = 5.0
+ENTRY_LIFETIME_S = 12.0
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -177,6 +177,44 @@
     stalled: bool = False
 
 
+class Announcement(Message):
+    """Tell a storage process where an entry is reached by other entries."""
+
+    address: str
+    wants_others: bool = False
+
+
+class KnownEntries(Message):
+    """Addresses of other entries; empty when they were not asked for."""
+
+    addresses: list[str]
+
+
+class RelayRequest(Message):
+    """Ask an entry to pass a call on to a storage member.
+
+    Attributes
+    ----------
+    address : str
+        Address of the member.
+    path : str
+        Path of the method.
+    payload : bytes
+        Encoded request.
+    """
+
+    address: str
+    path: str
+    payload: bytes
+    timeout_s: float
+
+
+class RelayReply(Message):
+    """The member's encoded reply."""
+
+    payload: bytes
+
+
 PUT_TURNS = Method(
     path="/lentilroad.Storage/PutTurns", request_type=PutTurns, reply_type=Stored
 )
@@ -203,3 +241,12 @@
 PROBE = Method(
     path="/lentilroad.Storage/Probe", request_type=ProbeRequest, reply_type=ProbeReply
 )
+ANNOUNCE = Method(
+    path="/lentilroad.Storage/Announce",
+    request_type=Announcement,
+    reply_type=KnownEntries,
+)
+# Served by entries.
+RELAY = Method(
+    path="/lentilroad.Entry/Relay", request_type=RelayRequest, reply_type=RelayReply
+)
--- /dev/null
+++ b/lentilroad/conversation/relay.py
@@ -0,0 +1,301 @@
+"""Calls to storage members through another entry while the direct way is cut."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from lentilroad.clock import Clock
+from lentilroad.conversation.const import (
+    ENTRY_LIFETIME_S,
+    MEMBER_PROBE_TIMEOUT_S,
+    RELAY_AFTER_S,
+    RELAY_FANOUT,
+    RELAY_MARGIN_S,
+)
+from lentilroad.conversation.messages import (
+    ANNOUNCE,
+    PROBE,
+    PUT_TURNS,
+    READ_CHAIN,
+    RELAY,
+    RESERVE,
+    Announcement,
+    KnownEntries,
+    ProbeRequest,
+    RelayReply,
+    RelayRequest,
+)
+from lentilroad.errors import LentilroadError, UnavailableError
+from lentilroad.process.events import log_event
+from lentilroad.wire.services import Method
+
+Call = Callable[[str, Method, Any, float], Awaitable[Any]]
+
+_RELAYED = {method.path: method for method in (PROBE, PUT_TURNS, READ_CHAIN, RESERVE)}
+
+
+class EntryBook:
+    """Entries that announced themselves to a storage member.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_seen_s")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._seen_s: dict[str, float] = {}
+
+    async def announce(self, request: Announcement) -> KnownEntries:
+        """Note an entry; return the others if it asks for them."""
+        now_s = self._clock.monotonic_s()
+        self._seen_s[request.address] = now_s
+        for address, seen_s in list(self._seen_s.items()):
+            if now_s - seen_s > ENTRY_LIFETIME_S:
+                del self._seen_s[address]
+        if not request.wants_others:
+            return KnownEntries(addresses=[])
+        return KnownEntries(
+            addresses=[other for other in self._seen_s if other != request.address]
+        )
+
+
+class RelayedCalls:
+    """Calls to storage members, direct or through another entry.
+
+    One member without an answer is taken for a failed member, which the quorums bear.
+    When more members than may be lost do not answer, this process is itself cut off
+    from them; its calls then go through an entry that still reaches them. All calls
+    that are relayed may be executed twice.
+
+    Parameters
+    ----------
+    call : callable
+        Calls to peers; see `lentilroad.connection.peers.PeerConnections.call`.
+    clock : Clock
+        Source of time.
+    own_address : str
+        Address at which other entries reach this one.
+    losses : int
+        Number of members that may be lost at the same time.
+    """
+
+    def __init__(
+        self, *, call: Call, clock: Clock, own_address: str, losses: int
+    ) -> None:
+        self._call = call
+        self._clock = clock
+        self._own_address = own_address
+        self._losses = losses
+        self._members: set[str] = set()
+        self._entries: list[str] = []
+        # Members without an answer to the last direct call.
+        self._unanswered: set[str] = set()
+        self._relay: str | None = None
+        self._random = random.Random()
+
+    def cut_off(self) -> bool:
+        """Return whether more members than may be lost do not answer directly."""
+        return len(self._unanswered) > self._losses
+
+    async def announce(self, members: Iterable[str]) -> None:
+        """Tell the members, nearest first, where this entry is; learn the others."""
+        nearest_first = list(members)
+        self._members = set(nearest_first)
+        self._unanswered &= self._members
+        reachable = [m for m in nearest_first if m not in self._unanswered]
+        await asyncio.gather(
+            *(
+                self._announce_to(member, wants_others=number == 0)
+                for number, member in enumerate(reachable)
+            )
+        )
+
+    async def probe_unanswered(self) -> None:
+        """Ask the members without an answer whether the direct way works again."""
+        await asyncio.gather(
+            *(self._probe(member) for member in list(self._unanswered))
+        )
+
+    async def call(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        """Call a member; errors are those of `PeerConnections.call`."""
+        if address in self._unanswered and self._can_relay():
+            return await self._relayed(address, method, request, timeout_s)
+        due_s = self._clock.monotonic_s() + timeout_s
+        direct = asyncio.ensure_future(
+            self._direct(address, method, request, timeout_s)
+        )
+        try:
+            while not await self._ended(direct, due_s):
+                self._note_unanswered(address)
+                if self._can_relay():
+                    break
+            if direct.done():
+                return direct.result()
+            left_s = due_s - self._clock.monotonic_s()
+            relayed = asyncio.ensure_future(
+                self._relayed(address, method, request, left_s)
+            )
+            return await _first_success((relayed, direct))
+        finally:
+            direct.cancel()
+
+    async def serve(self, request: RelayRequest) -> RelayReply:
+        """Pass a call of another entry on to a member.
+
+        Raises
+        ------
+        UnavailableError
+            The member cannot be reached from here, or is not known.
+        """
+        method = _RELAYED.get(request.path)
+        if method is None or request.address not in self._members:
+            raise UnavailableError(
+                f"{request.address}{request.path} is not relayed; ask another entry",
+                outcome="not_run",
+            )
+        if request.address in self._unanswered:
+            raise UnavailableError(
+                f"{request.address} does not answer here; ask another entry",
+                outcome="not_run",
+            )
+        decoded = msgspec.msgpack.decode(request.payload, type=method.request_type)
+        reply = await self._direct(request.address, method, decoded, request.timeout_s)
+        return RelayReply(payload=msgspec.msgpack.encode(reply))
+
+    def _can_relay(self) -> bool:
+        return self.cut_off() and bool(self._entries)
+
+    async def _ended(self, direct: asyncio.Future[Any], due_s: float) -> bool:
+        left_s = due_s - self._clock.monotonic_s()
+        if left_s <= 0:
+            await asyncio.wait({direct})
+            return True
+        done, _ = await asyncio.wait({direct}, timeout=min(RELAY_AFTER_S, left_s))
+        return bool(done)
+
+    async def _direct(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        try:
+            reply = await self._call(address, method, request, timeout_s=timeout_s)
+        except (UnavailableError, TimeoutError):
+            self._note_unanswered(address)
+            raise
+        except LentilroadError:
+            # The member answered with a typed error.
+            self._note_answer(address)
+            raise
+        self._note_answer(address)
+        return reply
+
+    async def _relayed(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        message = RelayRequest(
+            address=address,
+            path=method.path,
+            payload=msgspec.msgpack.encode(request),
+            timeout_s=timeout_s,
+        )
+        due_s = self._clock.monotonic_s() + timeout_s
+        if self._relay is not None:
+            try:
+                return await self._through(self._relay, method, message)
+            except (UnavailableError, TimeoutError):
+                self._relay = None
+        left_s = due_s - self._clock.monotonic_s()
+        if left_s <= 0:
+            raise UnavailableError(
+                f"no entry reaches {address}; send the turn again, it reaches another "
+                "entry",
+                retry_after_ms=0,
+            )
+        message.timeout_s = left_s
+        candidates = self._random.sample(
+            self._entries, min(RELAY_FANOUT, len(self._entries))
+        )
+        return await _first_success(
+            [
+                asyncio.ensure_future(self._through(entry, method, message))
+                for entry in candidates
+            ]
+        )
+
+    async def _through(self, entry: str, method: Method, message: RelayRequest) -> Any:
+        reply: RelayReply = await self._call(
+            entry, RELAY, message, timeout_s=message.timeout_s + RELAY_MARGIN_S
+        )
+        if self._relay is None:
+            self._relay = entry
+            log_event("storage_relay_chosen", relay=entry)
+        return msgspec.msgpack.decode(reply.payload, type=method.reply_type)
+
+    async def _announce_to(self, member: str, *, wants_others: bool) -> None:
+        request = Announcement(address=self._own_address, wants_others=wants_others)
+        try:
+            found: KnownEntries = await self._direct(
+                member, ANNOUNCE, request, MEMBER_PROBE_TIMEOUT_S
+            )
+        except (LentilroadError, TimeoutError) as error:
+            log_event("announcement_failed", member=member, error=str(error))
+            return
+        if wants_others:
+            self._entries = found.addresses
+
+    async def _probe(self, member: str) -> None:
+        try:
+            await self._direct(member, PROBE, ProbeRequest(), MEMBER_PROBE_TIMEOUT_S)
+        except (LentilroadError, TimeoutError):
+            # It stays unanswered; the failure that made it so was logged.
+            return
+
+    def _note_unanswered(self, address: str) -> None:
+        if address in self._unanswered or address not in self._members:
+            return
+        self._unanswered.add(address)
+        if len(self._unanswered) == self._losses + 1:
+            log_event(
+                "storage_cut_off",
+                unanswered=sorted(self._unanswered),
+                relays=len(self._entries),
+            )
+
+    def _note_answer(self, address: str) -> None:
+        if address not in self._unanswered:
+            return
+        self._unanswered.discard(address)
+        if len(self._unanswered) == self._losses:
+            self._relay = None
+            log_event("storage_reached_again", unanswered=sorted(self._unanswered))
+
+
+async def _first_success(tasks: Iterable[asyncio.Future[Any]]) -> Any:
+    """Return the first result; the last error if all fail."""
+    waiting = set(tasks)
+    failed: BaseException | None = None
+    try:
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                error = task.exception()
+                if not isinstance(error, (UnavailableError, TimeoutError)):
+                    return task.result()
+                failed = error
+    finally:
+        for task in waiting:
+            task.cancel()
+    assert failed is not None
+    raise failed
--- a/lentilroad/platform/roles.py
+++ b/lentilroad/platform/roles.py
@@ -15,6 +15,7 @@
 from lentilroad.conversation.allowance import Allowances
 from lentilroad.conversation.client import Place, StorageClient
 from lentilroad.conversation.const import (
+    ANNOUNCE_INTERVAL_S,
     MEMBER_PROBE_INTERVAL_S,
     SEGMENT_BYTES,
     SWEEP_INTERVAL_S,
@@ -29,14 +30,17 @@
     encode_members,
 )
 from lentilroad.conversation.messages import (
+    ANNOUNCE,
     PROBE,
     PULL,
     PUT_LEDGERS,
     PUT_TURNS,
     READ_CHAIN,
+    RELAY,
     RESERVE,
     WHICH_TURNS,
 )
+from lentilroad.conversation.relay import EntryBook, RelayedCalls
 from lentilroad.conversation.replica import Replica
 from lentilroad.conversation.turns import Turns
 from lentilroad.errors import ConfigurationError, LentilroadError
@@ -90,9 +94,16 @@
         availability_zone=settings.availability_zone,
         region_of=lambda zone: settings.zone_regions.get(zone, zone),
     )
-    storage = StorageClient(
+    own_address = f"{settings.ip}:{settings.peer_port}"
+    relayed = RelayedCalls(
         call=peers.call,
         clock=clock,
+        own_address=own_address,
+        losses=settings.losses_tolerated,
+    )
+    storage = StorageClient(
+        call=relayed.call,
+        clock=clock,
         place=Place(
             availability_zone=settings.availability_zone, region=settings.region
         ),
@@ -123,6 +134,7 @@
         )
         return (200, "ready") if serving else (503, "not ready")
 
+    await start_server({RELAY: relayed.serve}, settings.ip, settings.peer_port)
     runner = await serve_callers(settings.client_address, ingress, state)
     await serve_text(settings.readiness_address, {"/readiness": ready})
     await serve_text(
@@ -155,6 +167,10 @@
             on_change=_note_members(storage.note_map),
         ),
         _repeat(storage.probe_down_members, MEMBER_PROBE_INTERVAL_S, clock),
+        _repeat(relayed.probe_unanswered, MEMBER_PROBE_INTERVAL_S, clock),
+        _repeat(
+            lambda: relayed.announce(storage.addresses()), ANNOUNCE_INTERVAL_S, clock
+        ),
         _repeat(allowances.hand_back_idle, DIRECTORY_SWEEP_S, clock),
         _repeat(lambda: _sweep(directory, dispatcher), DIRECTORY_SWEEP_S, clock),
     ]
@@ -231,6 +247,7 @@
             PUT_LEDGERS: replica.put_ledgers,
             WHICH_TURNS: replica.which_turns,
             PROBE: replica.probe,
+            ANNOUNCE: EntryBook(clock=clock).announce,
         },
         settings.ip,
         settings.peer_port,
--- /dev/null
+++ b/tests/conversation/test_relay.py
@@ -0,0 +1,187 @@
+"""Entries that are cut off from the storage members reach them through others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from lentilroad.conversation.allowance import Allowances
+from lentilroad.conversation.client import Place, StorageClient
+from lentilroad.conversation.messages import RELAY, Announcement
+from lentilroad.conversation.relay import EntryBook, RelayedCalls
+from lentilroad.errors import UnavailableError
+from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.clock import ManualClock
+from tests.fakes.storage_cluster import IN_REGION_S, StorageCluster, turn
+
+THREE = ["dakar", "saint-louis", "thies"]
+
+
+class _Entry:
+    """One entry with its calls, direct and relayed."""
+
+    def __init__(self, fleet: _Fleet, name: str) -> None:
+        self.name = name
+        self.relayed_calls = 0
+        self._fleet = fleet
+        self._direct = fleet.cluster.caller("dakar", name)
+        self.calls = RelayedCalls(
+            call=self._call, clock=fleet.cluster.clock, own_address=name, losses=1
+        )
+        self.storage = StorageClient(
+            call=self.calls.call,
+            clock=fleet.cluster.clock,
+            place=Place(availability_zone="dakar-a", region="dakar"),
+            losses=1,
+        )
+        self.storage.note_map(fleet.cluster.stored.known)
+
+    async def _call(
+        self, address: str, method: Any, request: Any, timeout_s: float
+    ) -> Any:
+        if method is not RELAY:
+            return await self._direct(address, method, request, timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await self._fleet.cluster.clock.sleep(IN_REGION_S)
+            entry = self._fleet.entries[address]
+            entry.relayed_calls += 1
+            return await entry.calls.serve(request)
+
+
+class _Fleet:
+    def __init__(self, cluster: StorageCluster, names: list[str]) -> None:
+        self.cluster = cluster
+        self.entries: dict[str, _Entry] = {}
+        for name in names:
+            self.entries[name] = _Entry(self, name)
+
+    async def announce(self) -> None:
+        for _ in range(2):
+            for entry in self.entries.values():
+                await entry.calls.announce(entry.storage.addresses())
+
+    def cut(self, name: str) -> None:
+        """Cut an entry off from all members."""
+        self.cluster.cut |= {(name, node) for node in self.cluster.nodes}
+
+
+async def _fleet(*names: str) -> _Fleet:
+    cluster = StorageCluster(regions=THREE, losses=1)
+    await cluster.form()
+    fleet = _Fleet(cluster, list(names))
+    await fleet.announce()
+    return fleet
+
+
+def test_turns_go_on_while_an_entry_is_cut_off_from_all_members() -> None:
+    """Guard against refusals of a whole zone whose entries lost the members."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1", "e2")
+        clock = fleet.cluster.clock
+        entry = fleet.entries["e1"]
+        await entry.storage.put_turn(turn("a"), key="p")
+        fleet.cut("e1")
+        began_s = clock.monotonic_s()
+        await entry.storage.put_turn(turn("b", "a"), key="p")
+        assert clock.monotonic_s() - began_s < 0.7
+        began_s = clock.monotonic_s()
+        found = await entry.storage.read_chain("b", key="p")
+        assert [record.turn_id for record in found] == ["b", "a"]
+        allowances = Allowances(
+            reserve=entry.storage.reserve, confirm=entry.storage.confirm, clock=clock
+        )
+        await allowances.acquire("p", 10, 100)
+        assert clock.monotonic_s() - began_s < 0.2
+        assert entry.storage.available()
+
+    run_virtual(run())
+
+
+def test_first_turn_after_the_cut_needs_no_second_try() -> None:
+    """Guard against a reservation that times out before the cut is known."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1", "e2")
+        fleet.cut("e1")
+        entry = fleet.entries["e1"]
+        allowances = Allowances(
+            reserve=entry.storage.reserve,
+            confirm=entry.storage.confirm,
+            clock=fleet.cluster.clock,
+        )
+        await allowances.acquire("p", 10, 100)
+
+    run_virtual(run())
+
+
+def test_entry_that_is_cut_off_itself_is_passed_over() -> None:
+    """Guard against a relay that cannot reach the members either."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1", "e2", "e3")
+        fleet.cut("e1")
+        fleet.cut("e2")
+        for number in range(4):
+            await fleet.entries["e1"].storage.put_turn(turn(f"t{number}"), key="p")
+
+    run_virtual(run())
+
+
+def test_single_failed_member_is_not_reached_for_through_others() -> None:
+    """Guard against relayed calls for a member that is down for everyone."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1", "e2")
+        fleet.cluster.nodes["store-0"].kill()
+        for number in range(4):
+            await fleet.entries["e1"].storage.put_turn(turn(f"t{number}"), key="p")
+        assert fleet.entries["e2"].relayed_calls == 0
+
+    run_virtual(run())
+
+
+def test_direct_way_is_taken_again_after_the_cut() -> None:
+    """Guard against calls that stay relayed, at twice the bytes, for good."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1", "e2")
+        entry = fleet.entries["e1"]
+        fleet.cut("e1")
+        await entry.storage.put_turn(turn("a"), key="p")
+        fleet.cluster.cut.clear()
+        await entry.calls.probe_unanswered()
+        before = fleet.entries["e2"].relayed_calls
+        await entry.storage.put_turn(turn("b"), key="p")
+        assert fleet.entries["e2"].relayed_calls == before
+
+    run_virtual(run())
+
+
+def test_cut_without_another_entry_still_refuses() -> None:
+    """Guard against a wait beyond the timeout when nobody can relay."""
+
+    async def run() -> None:
+        fleet = await _fleet("e1")
+        fleet.cut("e1")
+        began_s = fleet.cluster.clock.monotonic_s()
+        with pytest.raises(UnavailableError):
+            await fleet.entries["e1"].storage.put_turn(turn("a"), key="p")
+        assert fleet.cluster.clock.monotonic_s() - began_s < 1.3
+
+    run_virtual(run())
+
+
+async def test_entry_that_is_gone_is_forgotten() -> None:
+    """Guard against relays that no longer exist."""
+    clock = ManualClock()
+    book = EntryBook(clock=clock)
+    await book.announce(Announcement(address="e1"))
+    clock.now_s = 8.0
+    found = await book.announce(Announcement(address="e2", wants_others=True))
+    assert found.addresses == ["e1"]
+    clock.now_s = 13.0
+    found = await book.announce(Announcement(address="e2", wants_others=True))
+    assert found.addresses == []
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -16,6 +16,7 @@
     encode_members,
 )
 from lentilroad.conversation.messages import (
+    ANNOUNCE,
     PROBE,
     PULL,
     PUT_LEDGERS,
@@ -25,6 +26,7 @@
     WHICH_TURNS,
     TurnRecord,
 )
+from lentilroad.conversation.relay import EntryBook
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import ConflictError, UnavailableError
 
@@ -115,6 +117,7 @@
         self.disks = 0
         self.running = False
         self.replica: Replica
+        self.entries: EntryBook
         self.joining: Joining
         self.journal: MemoryJournal
         self._known = MemberMap(version=0, listed=MemberList())
@@ -159,6 +162,7 @@
             losses=self.cluster.losses,
         )
         self.cluster.stored.watchers.append(self.joining.note_map)
+        self.entries = EntryBook(clock=self.cluster.clock)
         self.running = True
         self._task = asyncio.create_task(self.joining.run())
 
@@ -239,6 +243,7 @@
                     PUT_LEDGERS: node.replica.put_ledgers,
                     WHICH_TURNS: node.replica.which_turns,
                     PROBE: node.replica.probe,
+                    ANNOUNCE: node.entries.announce,
                 }
                 reply = await handlers[method](request)
                 await self._reach(region, name, address)
