Split the programs' wiring; let requests wait while a process starts

The storage process took 0.6 s of processor time to load, most of it for aiohttp, which only its metrics need.

Change: for two seconds after its start, an entry lets a request wait up to a second for the configuration, the list of instances and, for turns, a quorum; after that it refuses at once. Without a relay the refusal says 0.3 s, since another entry would have relayed. roles.py is split into entry.py, storage.py and following.py; run_until and the text server have modules of their own.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -228,9 +228,9 @@
         up = [member for member in members if member.disk_id not in self._down]
         if len(up) < quorum:
             raise UnavailableError(
-                f"{len(up)} of {quorum} storage members answer; send the turn again, "
-                "it reaches another entry",
-                retry_after_ms=0,
+                f"{len(up)} of {quorum} storage members answer here or through other "
+                "entries; send the turn again",
+                retry_after_ms=RETRY_AFTER_MS,
             )
         request = Reserve(program_id=program_id, map_version=known.version, grant=grant)
         merged: dict[str, Grant] = {}
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -39,8 +39,9 @@
 PULL_TIMEOUT_S = 4.0
 # Tries of a reservation whose list of members turned out to be old.
 RESERVE_TRIES = 2
-# When a caller comes back after too few members answered.
-RETRY_AFTER_MS = 200
+# When a caller comes back after too few members answered: restarted members answer
+# within half a second, and a caller has several tries.
+RETRY_AFTER_MS = 300
 # Members answer within 30 ms; one that takes longer may be cut off.
 RELAY_AFTER_S = 0.2
 # Entries that are asked at once while none is known to reach the members.
--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -16,6 +16,7 @@
     RELAY_AFTER_S,
     RELAY_FANOUT,
     RELAY_MARGIN_S,
+    RETRY_AFTER_MS,
 )
 from lentilroad.conversation.messages import (
     ANNOUNCE,
@@ -217,9 +218,8 @@
         left_s = due_s - self._clock.monotonic_s()
         if left_s <= 0:
             raise UnavailableError(
-                f"no entry reaches {address}; send the turn again, it reaches another "
-                "entry",
-                retry_after_ms=0,
+                f"no entry reaches {address}; send the turn again",
+                retry_after_ms=RETRY_AFTER_MS,
             )
         message.timeout_s = left_s
         candidates = self._random.sample(
--- a/lentilroad/platform/__main__.py
+++ b/lentilroad/platform/__main__.py
@@ -58,7 +58,7 @@
     _skip_certificates()
     import uvloop
 
-    from lentilroad.platform.roles import run_entry
+    from lentilroad.platform.entry import run_entry
     from lentilroad.process.events import start_event_log
 
     start_event_log(role="entry")
@@ -70,7 +70,7 @@
     _skip_certificates()
     import uvloop
 
-    from lentilroad.platform.roles import run_storage
+    from lentilroad.platform.storage import run_storage
     from lentilroad.process.events import start_event_log
 
     start_event_log(role="storage")
--- /dev/null
+++ b/lentilroad/platform/storage.py
@@ -0,0 +1,224 @@
+"""The program on machines with a disk."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from lentilroad.clock import Clock, SystemClock
+from lentilroad.connection.peers import PeerConnections
+from lentilroad.connection.server import start_server
+from lentilroad.conversation.const import SEGMENT_BYTES, SWEEP_INTERVAL_S
+from lentilroad.conversation.joining import Joining, MapStore, read_disk_id
+from lentilroad.conversation.journal import Journal
+from lentilroad.conversation.members import (
+    Member,
+    MemberList,
+    MemberMap,
+    decode_members,
+    encode_members,
+)
+from lentilroad.conversation.messages import (
+    ANNOUNCE,
+    PROBE,
+    PULL,
+    PUT_LEDGERS,
+    PUT_TURNS,
+    READ_CHAIN,
+    RESERVE,
+    WHICH_TURNS,
+)
+from lentilroad.conversation.relay import EntryBook
+from lentilroad.conversation.replica import Replica
+from lentilroad.errors import ConfigurationError, LentilroadError
+from lentilroad.platform.configuration import RETIRE_PREFIX, RETIRE_STATUS_PREFIX
+from lentilroad.platform.following import (
+    MEMBERS_KEY,
+    members_reader,
+    note_all,
+    repeat,
+    stop_event,
+)
+from lentilroad.platform.metadata import (
+    MetadataClient,
+    StoredItem,
+    WriteConflictError,
+    follow_prefix,
+)
+from lentilroad.platform.settings import ProcessSettings
+from lentilroad.process.events import log_event
+from lentilroad.process.run import run_until
+
+MEGABYTE = 2**20
+STATUS_RETRY_S = 0.25
+
+
+async def run_storage(settings: ProcessSettings) -> None:
+    """Keep conversations and grants on the disk until SIGTERM."""
+    if settings.data_folder is None:
+        raise ConfigurationError("DataDirectory is missing; run storage on a disk")
+    clock = SystemClock()
+    metadata = MetadataClient(address=settings.metadata_address, clock=clock)
+    peers = PeerConnections(clock=clock)
+    disk_id, new_disk = read_disk_id(settings.data_folder)
+    listed: set[str] = set()
+    known = MemberMap(version=0, listed=MemberList())
+
+    def note_map(newer: MemberMap) -> None:
+        nonlocal known
+        known = newer
+        listed.clear()
+        listed.update(member.disk_id for member in newer.listed.members)
+
+    journal = Journal(
+        folder=settings.data_folder / "journal",
+        segment_bytes=SEGMENT_BYTES,
+        clock=clock,
+    )
+    replica = Replica(
+        journal=journal,
+        disk_id=disk_id,
+        clock=clock,
+        disk_bytes=settings.disk_mb * MEGABYTE,
+        listed_disks=lambda: listed,
+        members=lambda: (known.version, encode_members(known.listed)),
+    )
+    replica.recover()
+    address = f"{settings.ip}:{settings.peer_port}"
+    joining = Joining(
+        member=Member(
+            node=settings.node,
+            disk_id=disk_id,
+            address=address,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+        ),
+        new_disk=new_disk,
+        first_start=settings.first_start,
+        replica=replica,
+        map_store=_map_store(metadata),
+        call=peers.call,
+        stream=peers.stream,
+        clock=clock,
+        on_map=note_map,
+        losses=settings.losses_tolerated,
+    )
+    await start_server(
+        {
+            PUT_TURNS: replica.put_turns,
+            READ_CHAIN: replica.read_chain,
+            RESERVE: replica.reserve,
+            PULL: replica.pull,
+            PUT_LEDGERS: replica.put_ledgers,
+            WHICH_TURNS: replica.which_turns,
+            PROBE: replica.probe,
+            ANNOUNCE: EntryBook(clock=clock).announce,
+        },
+        settings.ip,
+        settings.peer_port,
+    )
+    # aiohttp and prometheus double the time to load; callers wait for the members.
+    from lentilroad.process.telemetry import Telemetry
+    from lentilroad.process.text_server import serve_text
+
+    telemetry = Telemetry()
+    telemetry.gauge("turns_held", lambda: len(replica.turns()))
+    telemetry.gauge("disk_complete", lambda: int(replica.complete))
+    telemetry.gauge("disk_write_s", journal.waiting_s)
+    telemetry.gauge("metadata_calls", lambda: metadata.calls)
+    await serve_text(
+        f"{settings.ip}:{settings.metrics_port}",
+        {"/metrics": lambda: (200, telemetry.text())},
+    )
+    retire_key = RETIRE_PREFIX + settings.node
+    retiring: list[asyncio.Task[None]] = []
+
+    def on_retire(item: StoredItem) -> None:
+        if item.key != retire_key or item.removed or retiring:
+            return
+        task = asyncio.ensure_future(_retire(joining, metadata, settings.node, clock))
+        retiring.append(task)
+
+    stop = stop_event()
+    log_event("started", disk=disk_id, new_disk=new_disk, address=address)
+
+    async def finish() -> None:
+        log_event("stopped")
+
+    await run_until(
+        [
+            joining.run(),
+            follow_prefix(
+                metadata,
+                MEMBERS_KEY,
+                clock=clock,
+                on_listing=lambda listing: note_all(
+                    listing, members_reader(joining.note_map)
+                ),
+                on_change=members_reader(joining.note_map),
+            ),
+            follow_prefix(
+                metadata,
+                RETIRE_PREFIX,
+                clock=clock,
+                on_listing=lambda listing: note_all(listing, on_retire),
+                on_change=on_retire,
+            ),
+            repeat(_awaited(replica.sweep), SWEEP_INTERVAL_S, clock),
+        ],
+        stop,
+        finish,
+    )
+
+
+def _awaited(step: Callable[[], None]) -> Callable[[], Awaitable[None]]:
+    async def run() -> None:
+        step()
+
+    return run
+
+
+def _map_store(metadata: MetadataClient) -> MapStore:
+    async def read() -> MemberMap:
+        item = await metadata.read_key(MEMBERS_KEY)
+        if item is None:
+            return MemberMap(version=0, listed=MemberList())
+        return MemberMap(version=item.revision, listed=decode_members(item.content()))
+
+    async def write(listed: MemberList, version: int) -> int:
+        return await metadata.write(
+            MEMBERS_KEY, encode_members(listed), expected_revision=version
+        )
+
+    return MapStore(read=read, write=write)
+
+
+async def _retire(
+    joining: Joining, metadata: MetadataClient, node: str, clock: Clock
+) -> None:
+    await _write_status(metadata, node, "running", clock)
+    await joining.retire()
+    await _write_status(metadata, node, "completed", clock)
+
+
+async def _write_status(
+    metadata: MetadataClient, node: str, state: str, clock: Clock
+) -> None:
+    key = RETIRE_STATUS_PREFIX + node
+    content = msgspec.json.encode({"State": state})
+    while True:
+        try:
+            item = await metadata.read_key(key)
+            if item is not None and item.content() == content:
+                return
+            revision = 0 if item is None else item.revision
+            await metadata.write(key, content, expected_revision=revision)
+            log_event("retire_status", node=node, state=state)
+            return
+        except WriteConflictError:
+            continue
+        except LentilroadError as error:
+            log_event("retire_status_failed", node=node, error=str(error))
+            await clock.sleep(STATUS_RETRY_S)
--- a/lentilroad/process/gateway.py
+++ b/lentilroad/process/gateway.py
@@ -10,9 +10,8 @@
 from aiohttp import web
 
 from lentilroad.clock import Clock
-from lentilroad.connection.const import LISTEN_BACKLOG
-from lentilroad.connection.listener import open_listener, split_address
 from lentilroad.process.events import log_event
+from lentilroad.process.text_server import start_site
 from lentilroad.request.ingress import Ingress
 from lentilroad.version.routes import ClientLimits, RouteTable
 
@@ -70,23 +69,7 @@
     listener: socket.socket, ingress: Ingress, state: GatewayState
 ) -> web.ServerRunner:
     """Accept callers' connections on a bound socket."""
-    return await _listen(_CallerServer(ingress.handle, state), listener)
-
-
-async def serve_text(
-    address: str, answers: dict[str, Callable[[], tuple[int, str]]]
-) -> web.ServerRunner:
-    """Serve short texts by path, such as readiness and metrics."""
-
-    async def handle(request: web.BaseRequest) -> web.Response:
-        answer = answers.get(request.path)
-        if answer is None:
-            return web.Response(status=404)
-        status, text = answer()
-        return web.Response(status=status, text=text)
-
-    listener = open_listener(*split_address(address))
-    return await _listen(web.Server(handle, access_log=None), listener)
+    return await start_site(_CallerServer(ingress.handle, state), listener)
 
 
 async def drain(
@@ -134,28 +117,3 @@
         open_requests=ingress.open_requests,
         elapsed_s=round(clock.monotonic_s() - stopped_s, 3),
     )
-
-
-async def run_until(
-    work: list[Awaitable[None]], stop: asyncio.Event, finish: Callable[[], Awaitable]
-) -> None:
-    """Run background work until `stop` is set, then `finish`; a failure ends all."""
-    tasks = [asyncio.ensure_future(each) for each in work]
-    stopping = asyncio.ensure_future(stop.wait())
-    done, _ = await asyncio.wait(
-        [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in done - {stopping}:
-        # A task that ends by itself has failed.
-        task.result()
-    await finish()
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
-async def _listen(server: web.Server, listener: socket.socket) -> web.ServerRunner:
-    runner = web.ServerRunner(server)
-    await runner.setup()
-    await web.SockSite(runner, listener, backlog=LISTEN_BACKLOG).start()
-    return runner
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import msgspec
 from aiohttp import web
@@ -51,6 +52,13 @@
 Decode = Callable[[str, str, tuple[Header, ...], bytes], InboundRequest]
 
 
+class Opening(Protocol):
+    """Waits until the process has read what it needs."""
+
+    def __call__(self, *, turns: bool) -> Awaitable[None]:
+        """Return when requests can be served, or will not be soon."""
+
+
 class NotExecutedError(LentilroadError):
     """The instance states that it has not run the request."""
 
@@ -108,6 +116,9 @@
         Counters and histograms.
     stopping : callable
         Returns whether the process is about to stop.
+    opening : callable
+        Waits, for a bounded time after the start, until requests can be served;
+        ``turns`` tells whether conversations are needed.
     """
 
     def __init__(
@@ -121,6 +132,7 @@
         clock: Clock,
         telemetry: Telemetry,
         stopping: Callable[[], bool],
+        opening: Opening,
     ) -> None:
         self._table = table
         self._decode = decode
@@ -130,6 +142,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._stopping = stopping
+        self._opening = opening
         self._random = random.Random()
         self._numbers = itertools.count()
         self.open_requests = 0
@@ -152,6 +165,7 @@
         request_id = ""
         exchange: _Exchange | None = None
         try:
+            await self._opening(turns=False)
             table = self._table()
             if table is None:
                 raise UnavailableError(
@@ -164,6 +178,8 @@
             )
             request_id = inbound.request_id
             exchange = self._route(table, inbound, request, began_s)
+            if exchange.route.keeps_conversation:
+                await self._opening(turns=True)
             return await self._serve(exchange)
         except LentilroadError as error:
             if exchange is not None and exchange.started:
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -60,6 +60,10 @@
     )
 
 
+async def _open(*, turns: bool) -> None:
+    """Serve at once."""
+
+
 @asynccontextmanager
 async def _gateway(addresses: list[str], **fields) -> AsyncIterator[SimpleNamespace]:
     clock = SystemClock()
@@ -93,6 +97,7 @@
         clock=clock,
         telemetry=Telemetry(),
         stopping=lambda: state.stopping,
+        opening=fields.get("opening", _open),
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
@@ -420,6 +425,28 @@
     assert "Retry-After" in headers
 
 
+async def test_request_of_a_starting_entry_waits_for_the_configuration() -> None:
+    """Guard against callers that use up their tries while an entry reads its state."""
+    known = asyncio.Event()
+
+    async def opening(*, turns: bool) -> None:
+        await known.wait()
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(_answering(request))
+
+    async with (
+        raw_server(answer) as worker,
+        _gateway([worker.address], configured=False, opening=opening) as gateway,
+    ):
+        call = asyncio.create_task(_call(gateway, "/idempotent/x"))
+        await asyncio.sleep(0.1)
+        gateway.state.note_table(_table())
+        known.set()
+        status, _, _ = await call
+    assert status == 200
+
+
 async def test_unknown_path_is_not_found() -> None:
     """Guard against a request without a route that reaches a worker."""
     async with _gateway([]) as gateway:
