Put links of the soak behind a loopback proxy; drop names that nothing uses

Change: each worker and each process's way to the store has a proxy of its own, whose faults run beside those of the processes. The links between entries and storage processes are not proxied, since their addresses come from settings.

--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -12,6 +12,7 @@
 
 from lentilroad.connection.const import (
     HTTP_BUFFER_LIMIT_BYTES,
+    HTTP_JOINED_WRITE_BYTES,
     TCP_KEEPALIVE_IDLE_S,
     TCP_KEEPALIVE_INTERVAL_S,
     TCP_KEEPALIVE_PROBES,
@@ -91,9 +92,7 @@
         self._surplus_seen = False
         self._keep = False
         self._error: str | None = None
-        self._written = False
         self.closed = False
-        self.exchanges = 0
         self.idle_until_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -162,9 +161,10 @@
                 "the connection was already closed", request_written=False
             )
         self._begin(expects)
-        self._written = True
-        self._transport.write(head + body if len(body) < 65536 else head)
-        if len(body) >= 65536:
+        if len(body) <= HTTP_JOINED_WRITE_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
             self._transport.write(body)
         self._head_waiter = self._loop.create_future()
         if self._error is not None:
@@ -283,7 +283,6 @@
         self._surplus_seen = False
         self._until_close = False
         self._error = None
-        self.exchanges += 1
 
     def _take_all(self) -> bytes:
         data = b"".join(self._chunks)
@@ -294,9 +293,7 @@
         self._error = self._error or message
         waiter = self._head_waiter
         if waiter is not None and not waiter.done():
-            waiter.set_exception(
-                ExchangeBrokenError(self._error, request_written=self._written)
-            )
+            waiter.set_exception(ExchangeBrokenError(self._error, request_written=True))
             # The exchange may have been cancelled and never read its result.
             waiter.exception()
         self._wake()
--- a/lentilroad/connection/http_pool.py
+++ b/lentilroad/connection/http_pool.py
@@ -29,11 +29,10 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_idle", "address", "opened")
+    __slots__ = ("_clock", "_idle", "address")
 
     def __init__(self, *, address: str, clock: Clock) -> None:
         self.address = address
-        self.opened = 0
         self._clock = clock
         self._idle: list[HttpConnection] = []
 
@@ -51,7 +50,6 @@
             lent = await open_connection(
                 self.address, timeout_s=UPSTREAM_CONNECT_TIMEOUT_S
             )
-            self.opened += 1
         kept = False
         try:
             yield lent
@@ -68,10 +66,6 @@
         """Remember until when the server keeps a connection open."""
         lent.idle_until_s = self._clock.monotonic_s() + keep_alive_s(head)
 
-    def has_idle(self) -> bool:
-        """Return whether a kept connection is at hand."""
-        return bool(self._idle)
-
     def close(self) -> None:
         """Close all kept connections."""
         for kept in self._idle:
--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -30,6 +30,7 @@
 from docopt import docopt
 
 from lentilroad.soak.programs import Caller, Findings
+from lentilroad.soak.proxy import LinkFault
 from lentilroad.soak.world import ProgramProcess, World, configuration
 
 # A busy machine takes many seconds to start six processes.
@@ -51,7 +52,10 @@
         await world.wait_ready(START_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
-            faults = asyncio.create_task(_inject(world, source))
+            # Faults of processes and of links come in series and overlap.
+            faults = asyncio.gather(
+                _inject(world, source), _inject_link_faults(world, source)
+            )
             running = [
                 asyncio.create_task(_repeat_programs(caller, session))
                 for _ in range(callers)
@@ -59,6 +63,7 @@
             await asyncio.sleep(duration_s)
             for task in (faults, *running):
                 task.cancel()
+            world.heal_links()
             await asyncio.gather(faults, *running, return_exceptions=True)
         # Requests that are still under way may run until now.
         await asyncio.sleep(SETTLE_S)
@@ -114,6 +119,31 @@
             await world.store.put("op/config", configuration(version=version))
 
 
+async def _inject_link_faults(world: World, source: random.Random) -> None:
+    while True:
+        await asyncio.sleep(source.uniform(0.3, 2.0))
+        links = source.sample(world.links, source.randint(1, len(world.links) // 2))
+        kind = source.choice(
+            ["delay", "requests", "answers", "silence", "reset", "silent_for_good"]
+        )
+        if kind in ("reset", "silent_for_good"):
+            for link in links:
+                if kind == "reset":
+                    link.reset_connections()
+                else:
+                    link.silence_connections()
+            continue
+        fault = LinkFault(
+            delay_s=source.uniform(0.02, 0.4) if kind == "delay" else 0.0,
+            drop_requests=kind in ("requests", "silence"),
+            drop_answers=kind in ("answers", "silence"),
+        )
+        for link in links:
+            link.fault = fault
+        await asyncio.sleep(source.uniform(0.2, 3.0))
+        world.heal_links()
+
+
 async def _restart(
     process: ProgramProcess, number: signal.Signals, pause_s: float
 ) -> None:
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from lentilroad.soak.proxy import LinkFault, LinkProxy
 from lentilroad.standins.platform_store import StoreStandIn
 from lentilroad.standins.platform_worker import EVENTS, RunLog, WorkerStandIn
 
@@ -145,6 +146,8 @@
         self.entries: list[ProgramProcess] = []
         self.storages: list[ProgramProcess] = []
         self.workers: list[WorkerStandIn] = []
+        # Links to workers and, one for each process, to the store.
+        self.links: list[LinkProxy] = []
         self._folder = folder
         self._source = source
 
@@ -157,22 +160,39 @@
             )
             await worker.start("127.0.0.1")
             self.workers.append(worker)
-            await self.store.put(f"servers/i-{number}", _worker_entry(worker, number))
+            link = await self._link(worker.address)
+            await self.store.put(
+                f"servers/i-{number}", _worker_entry(link.address, number)
+            )
         await self.store.put("op/config", configuration(version=1))
         for role, count, into in (
             ("storage", storages, self.storages),
             ("entry", entries, self.entries),
         ):
             for number in range(count):
+                link = await self._link(self.store.address)
                 process = ProgramProcess(
                     role=role,
                     number=number,
                     folder=self._folder,
-                    store_address=self.store.address,
+                    store_address=link.address,
                 )
                 into.append(process)
                 await process.start()
 
+    async def _link(self, target: str) -> LinkProxy:
+        link = LinkProxy(target=target)
+        await link.start("127.0.0.1")
+        self.links.append(link)
+        return link
+
+    def heal_links(self) -> None:
+        """End all faults of links; connections that lost bytes are reset."""
+        for link in self.links:
+            if link.fault.drop_requests or link.fault.drop_answers:
+                link.reset_connections()
+            link.fault = LinkFault()
+
     async def wait_ready(self, timeout_s: float) -> None:
         """Wait until every entry is ready; raises `TimeoutError`."""
         async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
@@ -189,6 +209,8 @@
         for process in everyone:
             process.send(signal.SIGCONT)
         await asyncio.gather(*(p.end(signal.SIGKILL) for p in everyone))
+        for link in self.links:
+            link.close()
         for worker in self.workers:
             worker.close()
         await self.store.close()
@@ -234,12 +256,12 @@
     ).encode()
 
 
-def _worker_entry(worker: WorkerStandIn, number: int) -> bytes:
+def _worker_entry(address: str, number: int) -> bytes:
     region = REGIONS[number % len(REGIONS)]
     return json.dumps(
         {
             "Service": "svc",
-            "Address": worker.address,
+            "Address": address,
             "Zone": f"{region}-a",
             "Slots": 8,
             "State": "ready",
