Let errors of storage members keep their types at an entry

Cause: the classes of 'stale_storage_map' and 'storage_not_caught_up' were defined beside the replica, which an entry does not load; there they arrived as untyped errors. Tests had loaded both sides into one process. Ruled out: slow or cut members, the errors came as answers.

Change: the classes have a module that both sides load. The test fails without it.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -20,6 +20,7 @@
     WRITE_HEDGE_AFTER_S,
     WRITE_TIMEOUT_S,
 )
+from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
 from lentilroad.conversation.members import (
     Member,
     MemberList,
@@ -49,9 +50,6 @@
 
 Call = Callable[..., Awaitable[Any]]
 
-# Errors of members that do answer.
-_ANSWERED = frozenset(("stale_storage_map", "storage_not_caught_up"))
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Place:
@@ -368,8 +366,8 @@
         )
 
     def _suspect(self, member: Member, error: BaseException) -> None:
-        code = getattr(error, "code", "")
-        if code not in _ANSWERED and member.disk_id not in self._down:
+        answered = isinstance(error, (StaleMapError, NotCaughtUpError))
+        if not answered and member.disk_id not in self._down:
             self._down.add(member.disk_id)
             log_event(
                 "storage_member_lost",
@@ -377,7 +375,7 @@
                 error=str(error) or type(error).__name__,
                 map_version=self._known.version,
             )
-        if code == "stale_storage_map" and (
+        if isinstance(error, StaleMapError) and (
             self._probing is None or self._probing.done()
         ):
             self._probing = asyncio.create_task(self._learn_members(member))
--- /dev/null
+++ b/lentilroad/conversation/errors.py
@@ -0,0 +1,19 @@
+"""Errors of storage members; both sides load them, so that they keep their types."""
+
+from __future__ import annotations
+
+from lentilroad.errors import LentilroadError
+
+
+class StaleMapError(LentilroadError):
+    """The caller's list of storage members is older than the replica's."""
+
+    code = "stale_storage_map"
+    http_status = 503
+
+
+class NotCaughtUpError(LentilroadError):
+    """The replica has not yet copied what it should hold."""
+
+    code = "storage_not_caught_up"
+    http_status = 503
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -16,6 +16,7 @@
     PULL_BATCH_BYTES,
     RETENTION_MARGIN_S,
 )
+from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.messages import (
     Chain,
@@ -34,24 +35,9 @@
     TurnRecord,
     WhichTurns,
 )
-from lentilroad.errors import LentilroadError
 from lentilroad.process.events import log_event
 
 
-class StaleMapError(LentilroadError):
-    """The caller's list of storage members is older than the replica's."""
-
-    code = "stale_storage_map"
-    http_status = 503
-
-
-class NotCaughtUpError(LentilroadError):
-    """The replica has not yet copied what it should hold."""
-
-    code = "storage_not_caught_up"
-    http_status = 503
-
-
 class _Entry(msgspec.Struct, array_like=True):
     """One record of the journal; exactly one field is set."""
 
--- a/tests/conversation/test_relay.py
+++ b/tests/conversation/test_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 from typing import Any
 
 import pytest
@@ -185,3 +187,22 @@
     clock.now_s = 13.0
     found = await book.announce(Announcement(address="e2", wants_others=True))
     assert found.addresses == []
+
+
+def test_errors_of_members_keep_their_types_at_an_entry() -> None:
+    """Guard against members that answer and are taken for lost.
+
+    An entry does not load the replica; its errors arrived without their types, so
+    that an entry with an old list of members never asked for the new one.
+    """
+    script = (
+        "import lentilroad.conversation.client, sys\n"
+        "from lentilroad.errors import error_class\n"
+        "assert 'lentilroad.conversation.replica' not in sys.modules\n"
+        "print(error_class('stale_storage_map').code)\n"
+        "print(error_class('storage_not_caught_up').code)\n"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.split() == ["stale_storage_map", "storage_not_caught_up"]
