Warn other entries of silent instances; let objects meet within a zone

A connection attempt to a dark instance took 1.2 s. Requests for one object met at one instance of the whole deployment, whose bonus equalled the cost of another zone, so that half of them crossed zones.

A connection attempt is given up after half a second; nothing was sent by then. The instance for an object is chosen within the zone; another zone costs 12 ms. Entries announce themselves to 12 members at most.

--- a/lentilroad/connection/const.py
+++ b/lentilroad/connection/const.py
@@ -9,6 +9,9 @@
 HTTP2_WINDOW_BYTES = 4 * 2**20
 SHUTDOWN_GRACE_S = 30.0
 HTTP_BUFFER_LIMIT_BYTES = 256 * 1024
+# Smaller bodies are sent in one write with their head; copying larger ones costs
+# more than a second system call.
+HTTP_JOINED_WRITE_BYTES = 64 * 1024
 # A peer that answers neither data nor probes for about two seconds is unreachable;
 # connections between zones take a few milliseconds.
 TCP_UNACKNOWLEDGED_LIMIT_MS = 2000
@@ -20,7 +23,7 @@
 KEEP_ALIVE_MARGIN_S = 0.7
 DEFAULT_KEEP_ALIVE_S = 4.0
 # Instances of a deployment answer a connection attempt within a few tens of
-# milliseconds; a lost packet costs up to a second.
-UPSTREAM_CONNECT_TIMEOUT_S = 1.2
+# milliseconds. Nothing was sent before, so that another instance can be tried.
+UPSTREAM_CONNECT_TIMEOUT_S = 0.5
 # Callers that connect while a process starts or is busy wait in this queue.
 LISTEN_BACKLOG = 512
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -51,3 +51,6 @@
 # Entries tell the storage members where they are at this interval.
 ANNOUNCE_INTERVAL_S = 5.0
 ENTRY_LIFETIME_S = 12.0
+# The nearest members that are told; more would let the messages of a large fleet grow
+# with entries times members.
+ANNOUNCE_MEMBERS = 12
--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -11,6 +11,7 @@
 
 from lentilroad.clock import Clock
 from lentilroad.conversation.const import (
+    ANNOUNCE_MEMBERS,
     ENTRY_LIFETIME_S,
     MEMBER_PROBE_TIMEOUT_S,
     RELAY_AFTER_S,
@@ -103,6 +104,10 @@
         self._relay: str | None = None
         self._random = random.Random()
 
+    def entries(self) -> list[str]:
+        """Return the addresses of the other entries, as the members know them."""
+        return self._entries
+
     def cut_off(self) -> bool:
         """Return whether more members than may be lost do not answer directly."""
         return len(self._unanswered) > self._losses
@@ -116,7 +121,7 @@
         await asyncio.gather(
             *(
                 self._announce_to(member, wants_others=number == 0)
-                for number, member in enumerate(reachable)
+                for number, member in enumerate(reachable[:ANNOUNCE_MEMBERS])
             )
         )
 
--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -64,6 +64,8 @@
         Running share of requests that failed there.
     excluded_until_s : float
         Monotonic time until which no new work goes there.
+    suspected_until_s : float
+        Monotonic time until which it counts as failing, as another entry reported.
     """
 
     instance: UpstreamInstance
@@ -71,6 +73,7 @@
     in_flight: int = 0
     failures: int = 0
     excluded_until_s: float = 0.0
+    suspected_until_s: float = 0.0
     response_s: float = 0.0
     lapsed: bool = False
     gone: bool = False
@@ -96,6 +99,7 @@
         """Note the first bytes of an answer."""
         self.unanswered.pop(request_id, None)
         self.last_answer_s = now_s
+        self.suspected_until_s = 0.0
 
     def note_given_up(self, request_id: str) -> None:
         """Note that nobody waits for an answer any more."""
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -18,6 +18,7 @@
 from lentilroad.conversation.relay import RelayedCalls
 from lentilroad.conversation.turns import Turns
 from lentilroad.errors import ConfigurationError
+from lentilroad.membership.suspicions import SUSPECT, Suspicions
 from lentilroad.membership.upstreams import UpstreamDirectory
 from lentilroad.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from lentilroad.platform.following import (
@@ -55,7 +56,7 @@
 START_REQUEST_WAIT_S = 1.0
 START_POLL_S = 0.02
 # Far below the seconds within which a draining worker must get no more work.
-WORKER_WATCH_PAUSE_S = 0.4
+WORKER_WATCH_PAUSE_S = 0.8
 
 
 async def run_entry(settings: ProcessSettings, listener: socket.socket) -> None:
@@ -104,8 +105,12 @@
         while not serving(turns=turns) and clock.monotonic_s() < due_s:
             await clock.sleep(START_POLL_S)
 
+    suspicions = Suspicions(
+        call=peers.call, entries=relayed.entries, directory=directory, clock=clock
+    )
     ingress = Ingress(
         opening=opening,
+        on_silent=suspicions.report,
         table=lambda: state.table,
         decode=decode_request,
         protocol=worker_protocol(),
@@ -123,7 +128,11 @@
             return 200, "ready"
         return 503, "not ready"
 
-    await start_server({RELAY: relayed.serve}, settings.ip, settings.peer_port)
+    await start_server(
+        {RELAY: relayed.serve, SUSPECT: suspicions.serve},
+        settings.ip,
+        settings.peer_port,
+    )
     runner = await serve_callers(listener, ingress, state)
     await serve_text(settings.readiness_address, {"/readiness": ready})
     await serve_text(
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -96,8 +96,10 @@
 # Requests to upstream services over the platform's wire.
 # A round trip to another zone takes 2 ms and one to another region 24 ms; the rest
 # weighs the billed bytes of a conversation against time.
-OTHER_ZONE_COST_S = 0.008
+OTHER_ZONE_COST_S = 0.012
 OTHER_REGION_COST_S = 0.08
+# An instance that has handled an object recently is faster with it.
+HOME_BONUS_S = 0.008
 # Below the cost of another zone, so that it only decides among equals.
 TIE_SPREAD_S = 0.004
 # Engines read 160 to 240 prompt tokens in a millisecond; twice that time, since the
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -20,6 +20,7 @@
 from lentilroad.request.const import (
     CACHED_PART_LIFETIME_S,
     FAILURE_COST_S,
+    HOME_BONUS_S,
     MOST_CACHED_PARTS,
     OTHER_REGION_COST_S,
     OTHER_ZONE_COST_S,
@@ -164,11 +165,11 @@
         best_cost_s = float("inf")
         local_wait_s = float("inf")
         usable = self._usable(work)
-        home = _home_instance(work, usable)
+        home = self._home_instance(work, usable)
         for state in usable:
             cost_s = self._cost_s(state, work)
             if state is home:
-                cost_s -= OTHER_ZONE_COST_S
+                cost_s -= HOME_BONUS_S
             if state.in_flight >= state.instance.slots:
                 if self._region_of(state.instance.availability_zone) == self._region:
                     wait_s = (state.response_s or DEFAULT_RESPONSE_S) / max(
@@ -183,6 +184,21 @@
             return None
         return best
 
+    def _home_instance(
+        self, work: Work, usable: list[UpstreamState]
+    ) -> UpstreamState | None:
+        """Return the instance at which requests for the same object meet.
+
+        Each zone has its own: bytes between zones cost more than a warm object saves.
+        """
+        if not work.affinity_key or not usable:
+            return None
+        near = [s for s in usable if s.instance.availability_zone == self._zone]
+        return max(
+            near or usable,
+            key=lambda state: score(work.affinity_key, state.instance.instance_id),
+        )
+
     def _cost_s(self, state: UpstreamState, work: Work) -> float:
         zone = state.instance.availability_zone
         cost_s = 0.0
@@ -192,7 +208,8 @@
             cost_s += OTHER_ZONE_COST_S
         response_s = state.response_s or DEFAULT_RESPONSE_S
         cost_s += FAILURE_COST_S * state.failure_share
-        if state.silent(self._clock.monotonic_s()):
+        now_s = self._clock.monotonic_s()
+        if state.silent(now_s) or state.suspected_until_s > now_s:
             cost_s += FAILURE_COST_S
         # A few requests side by side hardly slow an instance; the last places do.
         load = state.in_flight / max(1, state.instance.slots)
@@ -269,11 +286,3 @@
         queue = self._waiting.get(waiter.work.service, [])
         queue[:] = [entry for entry in queue if entry[2] is not waiter]
         heapq.heapify(queue)
-
-
-def _home_instance(work: Work, usable: list[UpstreamState]) -> UpstreamState | None:
-    if not work.affinity_key or not usable:
-        return None
-    return max(
-        usable, key=lambda state: score(work.affinity_key, state.instance.instance_id)
-    )
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -119,6 +119,8 @@
     opening : callable
         Waits, for a bounded time after the start, until requests can be served;
         ``turns`` tells whether conversations are needed.
+    on_silent : callable
+        Called with an instance that left requests without an answer.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         telemetry: Telemetry,
         stopping: Callable[[], bool],
         opening: Opening,
+        on_silent: Callable[[UpstreamState], None],
     ) -> None:
         self._table = table
         self._decode = decode
@@ -143,6 +146,7 @@
         self._telemetry = telemetry
         self._stopping = stopping
         self._opening = opening
+        self._on_silent = on_silent
         self._random = random.Random()
         self._numbers = itertools.count()
         self.open_requests = 0
@@ -277,10 +281,9 @@
             preferred=turn.preferred_instance if turn is not None else "",
             history_tokens=exchange.inbound.prompt_tokens,
         )
+        self._finish(exchange, answer.status)
         if isinstance(answer, _WholeAnswer):
-            self._finish(exchange, answer.status)
             return self._whole_response(answer)
-        self._finish(exchange, answer.status)
         return answer
 
     def _event_tokens(self, exchange: _Exchange) -> int:
@@ -489,6 +492,7 @@
         # Of several requests that wait in vain, the first one is enough.
         if state.silent(now_s) and state.excluded_until_s <= now_s:
             self._exclude(state, _exclusion_s(state), "no answer")
+            self._on_silent(state)
 
     async def _read_whole(
         self, connection: HttpConnection, head: ResponseHead
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -130,6 +130,23 @@
     run_virtual(run())
 
 
+def test_requests_for_one_object_meet_within_the_zone() -> None:
+    """Guard against objects that draw requests to instances of other zones."""
+
+    async def run() -> None:
+        bench = _Bench(["a", "a", "b", "b"], slots=6)
+        for number in range(12):
+            chosen = set()
+            for _ in range(3):
+                state = await bench.take(affinity_key=f"object-{number}")
+                bench.dispatcher.release(state)
+                chosen.add(state)
+            assert len(chosen) == 1
+            assert chosen.pop().instance.availability_zone == "a"
+
+    run_virtual(run())
+
+
 def test_entries_that_know_the_same_choose_different_instances() -> None:
     """Guard against a burst of new programs on one instance, seen by all entries."""
 
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -98,6 +98,7 @@
         telemetry=Telemetry(),
         stopping=lambda: state.stopping,
         opening=fields.get("opening", _open),
+        on_silent=fields.get("on_silent", lambda state: None),
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
