--- a/lentilroad/soak/proxy.py
+++ b/lentilroad/soak/proxy.py
@@ -106,8 +106,8 @@
         *,
         requests: bool,
     ) -> None:
-        # A connection that ends at one side ends at the other one too.
-        with contextlib.suppress(ConnectionError):
+        # A connection that ends at one side, or was reset, ends at the other one too.
+        with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 fault = self.fault
                 if fault.delay_s:
