Read the errors of relays that end beside the first answer

Ruled out: a lost call, the turn was stored through the other relay.

Change: calls of which only the first result counts have their error read when they end. No decision changes. The test fails without it.

--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
 import msgspec
@@ -138,9 +138,7 @@
         if address in self._unanswered and self._can_relay():
             return await self._relayed(address, method, request, timeout_s)
         due_s = self._clock.monotonic_s() + timeout_s
-        direct = asyncio.ensure_future(
-            self._direct(address, method, request, timeout_s)
-        )
+        direct = _background(self._direct(address, method, request, timeout_s))
         try:
             while not await self._ended(direct, due_s):
                 self._note_unanswered(address)
@@ -149,9 +147,7 @@
             if direct.done():
                 return direct.result()
             left_s = due_s - self._clock.monotonic_s()
-            relayed = asyncio.ensure_future(
-                self._relayed(address, method, request, left_s)
-            )
+            relayed = _background(self._relayed(address, method, request, left_s))
             return await _first_success((relayed, direct))
         finally:
             direct.cancel()
@@ -231,10 +227,7 @@
             self._entries, min(RELAY_FANOUT, len(self._entries))
         )
         return await _first_success(
-            [
-                asyncio.ensure_future(self._through(entry, method, message))
-                for entry in candidates
-            ]
+            [_background(self._through(entry, method, message)) for entry in candidates]
         )
 
     async def _through(self, entry: str, method: Method, message: RelayRequest) -> Any:
@@ -285,6 +278,14 @@
             log_event("storage_reached_again", unanswered=sorted(self._unanswered))
 
 
+def _background(work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    """Start a call of which only the first result counts."""
+    task = asyncio.ensure_future(work)
+    # Another call may have won; failures are noted where the member is judged.
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
+    return task
+
+
 async def _first_success(tasks: Iterable[asyncio.Future[Any]]) -> Any:
     """Return the first result; the last error if all fail."""
     waiting = set(tasks)
--- a/tests/conversation/test_relay.py
+++ b/tests/conversation/test_relay.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import gc
 import subprocess
 import sys
 from typing import Any
 
+import msgspec
 import pytest
 
+from lentilroad.clock import LoopClock
 from lentilroad.conversation.allowance import Allowances
 from lentilroad.conversation.client import Place, StorageClient
-from lentilroad.conversation.messages import RELAY, Announcement
+from lentilroad.conversation.messages import (
+    ANNOUNCE,
+    PUT_TURNS,
+    RELAY,
+    Announcement,
+    KnownEntries,
+    PutTurns,
+    RelayReply,
+    Stored,
+)
 from lentilroad.conversation.relay import EntryBook, RelayedCalls
 from lentilroad.errors import UnavailableError
 from lentilroad.standins.virtual_loop import run_virtual
@@ -132,6 +145,42 @@
     run_virtual(run())
 
 
+def test_relays_that_fail_beside_one_that_answers_leave_no_unread_error() -> None:
+    """Guard against tracebacks between the log lines of an entry."""
+    unread: list[dict[str, Any]] = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unread.append(context))
+        clock = LoopClock(loop=loop)
+
+        async def call(
+            address: str, method: Any, request: Any, timeout_s: float
+        ) -> Any:
+            if method is ANNOUNCE:
+                return KnownEntries(addresses=["e2", "e3", "e4"])
+            await clock.sleep(0.01)
+            if address != "e2":
+                raise UnavailableError("no answer")
+            return RelayReply(payload=msgspec.msgpack.encode(Stored(disk_id="d")))
+
+        # All three relays end at the same moment; which one is read first varies.
+        for _ in range(8):
+            calls = RelayedCalls(call=call, clock=clock, own_address="e1", losses=1)
+            await calls.announce(["m1", "m2"])
+            await calls.probe_unanswered()
+            for member in ("m1", "m2"):
+                with contextlib.suppress(UnavailableError):
+                    await calls.call(member, PUT_TURNS, PutTurns(turns=[]), 1.0)
+            stored = await calls.call("m1", PUT_TURNS, PutTurns(turns=[]), 1.0)
+            assert stored.disk_id == "d"
+        gc.collect()
+        await clock.sleep(1.0)
+
+    run_virtual(run())
+    assert unread == []
+
+
 def test_single_failed_member_is_not_reached_for_through_others() -> None:
     """Guard against relayed calls for a member that is down for everyone."""
 
