Share the hanging worker of three tests, and drop a constant without a reader

Cause: three tests of the ingress each defined the same worker that leaves a request without an answer, and OPERATOR_PREFIX had no reader. Change: one stub at the top of the module; the constant is gone. Assertions and behaviour are unchanged.

--- a/lentilroad/platform/configuration.py
+++ b/lentilroad/platform/configuration.py
@@ -15,7 +15,6 @@
 )
 
 CONFIGURATION_KEY = "op/config"
-OPERATOR_PREFIX = "op/"
 RETIRE_PREFIX = "op/retire/"
 RETIRE_STATUS_PREFIX = "status/retire/"
 
--- a/tests/request/test_ingress.py
+++ b/tests/request/test_ingress.py
@@ -136,6 +136,11 @@
     return whole(body, **{**identity, **SEAL, **extra})
 
 
+async def _hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    """Leave a request without an answer."""
+    await asyncio.sleep(5.0)
+
+
 async def test_answer_is_returned_unchanged_and_headers_are_the_systems_own() -> None:
     """Guard against caller headers that only the system may set (UNASKED)."""
 
@@ -345,12 +350,8 @@
 
 async def test_unreachable_worker_first_does_not_make_a_lost_answer_a_refusal() -> None:
     """Guard against 503 for what may have run at a second worker (REFUSED)."""
-
-    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(5.0)
-
     async with (
-        raw_server(hang) as hanging,
+        raw_server(_hang) as hanging,
         _gateway(["127.0.0.1:1", hanging.address], timeout_s=0.3) as gateway,
     ):
         status, _, _ = await _call(gateway, "/non_idempotent/x", "POST")
@@ -372,14 +373,11 @@
 async def test_hanging_worker_delays_an_idempotent_request_only_briefly() -> None:
     """Guard against a lookup that waits for its deadline at a worker that hangs."""
 
-    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(5.0)
-
     async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         writer.write(_answering(request))
 
     async with (
-        raw_server(hang) as hanging,
+        raw_server(_hang) as hanging,
         raw_server(answer) as sound,
         _gateway([hanging.address, sound.address]) as gateway,
     ):
@@ -394,14 +392,11 @@
 async def test_worker_that_hangs_gets_no_further_work_after_the_caller_left() -> None:
     """Guard against streams sent one after another to a worker that hangs."""
 
-    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(5.0)
-
     async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         writer.write(_answering(request))
 
     async with (
-        raw_server(hang) as hanging,
+        raw_server(_hang) as hanging,
         raw_server(answer) as sound,
         _gateway([hanging.address, sound.address]) as gateway,
     ):
