Bound the bytes of an exchange that are no body

Change: heads, trailers and framing are bounded by 64 KiB and 16 bytes for each byte of body, answers to other requests by 1 MiB; beyond that the connection is closed and the exchange ends with an unknown outcome. Trailers are no longer collected. Before: no bound.

--- a/lentilroad/connection/const.py
+++ b/lentilroad/connection/const.py
@@ -9,6 +9,12 @@
 HTTP2_WINDOW_BYTES = 4 * 2**20
 SHUTDOWN_GRACE_S = 30.0
 HTTP_BUFFER_LIMIT_BYTES = 256 * 1024
+# Bytes of an exchange beside bodies: heads, trailers and the framing of chunks. A
+# head takes a few hundred bytes, the framing of a chunk of one byte takes six.
+HTTP_OVERHEAD_LIMIT_BYTES = 64 * 1024
+HTTP_OVERHEAD_PER_BODY_BYTE = 16
+# Answers to other requests that arrive late are read and dropped up to this size.
+HTTP_SKIPPED_LIMIT_BYTES = 1024 * 1024
 # Smaller bodies are sent in one write with their head; copying larger ones costs
 # more than a second system call.
 HTTP_JOINED_WRITE_BYTES = 64 * 1024
--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -13,6 +13,9 @@
 from lentilroad.connection.const import (
     HTTP_BUFFER_LIMIT_BYTES,
     HTTP_JOINED_WRITE_BYTES,
+    HTTP_OVERHEAD_LIMIT_BYTES,
+    HTTP_OVERHEAD_PER_BODY_BYTE,
+    HTTP_SKIPPED_LIMIT_BYTES,
     TCP_KEEPALIVE_IDLE_S,
     TCP_KEEPALIVE_INTERVAL_S,
     TCP_KEEPALIVE_PROBES,
@@ -53,14 +56,21 @@
         Status code.
     headers : list of (bytes, bytes)
         Header names and values in the order received.
+    without_length : bool
+        Whether the body ends with the connection.
     """
 
-    __slots__ = ("_values", "headers", "status")
+    __slots__ = ("_values", "headers", "status", "without_length")
 
     def __init__(self, *, status: int, headers: list[Header]) -> None:
         self.status = status
         self.headers = headers
         self._values = {name.lower(): value for name, value in headers}
+        self.without_length = (
+            b"content-length" not in self._values
+            and b"transfer-encoding" not in self._values
+            and status not in (204, 304)
+        )
 
     def value(self, lower_name: bytes) -> bytes | None:
         """Return the last value of a header, named in lower case."""
@@ -84,10 +94,14 @@
         self._head_waiter: asyncio.Future[ResponseHead] | None = None
         self._chunks: deque[bytes] = deque()
         self._chunk_bytes = 0
+        # Of the open exchange: all bytes, those of its body, and those of bodies that
+        # belong to no request.
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._skipped_bytes = 0
         self._chunk_waiter: asyncio.Future[None] | None = None
         self._skipping = False
         self._complete = False
-        self._until_close = False
         self._surplus = False
         self._surplus_seen = False
         self._keep = False
@@ -108,6 +122,7 @@
             self._surplus = True
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -116,10 +131,30 @@
                 return
             self._fail(f"the response is not valid HTTP ({error})")
             self.abort()
+            return
+        if self._exceeds_bounds():
+            self._surplus = True
+            self._fail("the server sends bytes that are no answer")
+            self.abort()
+
+    def _exceeds_bounds(self) -> bool:
+        """Return whether heads, trailers, framing or foreign answers have no end.
+
+        Bodies are bounded by whoever reads them: reading pauses while nobody does.
+        """
+        overhead_bytes = self._received_bytes - self._body_bytes - self._skipped_bytes
+        allowed_bytes = (
+            HTTP_OVERHEAD_LIMIT_BYTES + HTTP_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        )
+        return (
+            overhead_bytes > allowed_bytes
+            or self._skipped_bytes > HTTP_SKIPPED_LIMIT_BYTES
+        )
 
     def eof_received(self) -> bool:
         """End a response that has no length; any other one is cut off."""
-        if self._head is not None and self._until_close and not self._complete:
+        head = self._head
+        if head is not None and head.without_length and not self._complete:
             self._complete = True
             self._keep = False
             self._wake()
@@ -223,7 +258,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        if not self._surplus:
+        # Headers behind the body (trailers) are not passed on.
+        if not self._surplus and self._head is None:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -243,18 +279,15 @@
         self._skipping = False
         self._head = head
         self._keep = self._parser.should_keep_alive() and not self._surplus_seen
-        self._until_close = (
-            head.value(b"content-length") is None
-            and head.value(b"transfer-encoding") is None
-            and status not in (204, 304)
-        )
         if self._head_waiter is not None and not self._head_waiter.done():
             self._head_waiter.set_result(head)
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body."""
         if self._surplus or self._skipping:
+            self._skipped_bytes += len(data)
             return
+        self._body_bytes += len(data)
         self._chunks.append(data)
         self._chunk_bytes += len(data)
         if self._chunk_bytes > HTTP_BUFFER_LIMIT_BYTES and self._transport is not None:
@@ -278,10 +311,12 @@
         self._head = None
         self._chunks.clear()
         self._chunk_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._skipped_bytes = 0
         self._complete = False
         self._skipping = False
         self._surplus_seen = False
-        self._until_close = False
         self._error = None
 
     def _take_all(self) -> bytes:
@@ -343,3 +378,25 @@
             f"no connection to {address} ({error!r})", request_written=False
         ) from error
     return connection
+
+
+async def refuses_connections(address: str, *, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address any more.
+
+    Parameters
+    ----------
+    address : str
+        Address as "ip:port".
+    timeout_s : float
+        Seconds to wait; a server that stays silent may still run.
+    """
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
