Let full disks answer reads, and send new turns and grants elsewhere

Cause: a disk that refuses writes raised an untyped error at entries, which took its member for lost and regained it at the next probe, 0.2 s later, so that every turn was sent to it first. Each refused write began a new segment file. At 80 % of the disk acknowledged turns were removed early, which could end in a 404. Found while reading: a reservation that was repeated while the disk held up or refused the first write was answered from memory, before the grant was on the disk; a refused version of the list of members counted as written at the next call.

A process whose disk refuses its first write tries again and does not end. Before: see cause.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -20,7 +20,11 @@
     WRITE_HEDGE_AFTER_S,
     WRITE_TIMEOUT_S,
 )
-from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
+from lentilroad.conversation.errors import (
+    DiskRefusedError,
+    NotCaughtUpError,
+    StaleMapError,
+)
 from lentilroad.conversation.members import (
     Member,
     MemberList,
@@ -82,6 +86,8 @@
         self._known = MemberMap(version=0, listed=MemberList())
         # Members that failed a call and have not answered a probe since.
         self._down: set[str] = set()
+        # Members that answer, but whose disks refuse writes.
+        self._read_only: set[str] = set()
         self._probing: asyncio.Task[None] | None = None
 
     def note_map(self, known: MemberMap) -> None:
@@ -97,7 +103,7 @@
     def available(self) -> bool:
         """Return whether enough members answer to keep turns and budgets."""
         members = self._known.listed.members
-        answering = sum(1 for member in members if member.disk_id not in self._down)
+        answering = sum(1 for member in members if self._takes_writes(member))
         return answering >= max(self._losses + 1, len(members) - self._losses)
 
     def addresses(self) -> list[str]:
@@ -105,10 +111,13 @@
         return [member.address for member in self._nearest("")]
 
     async def probe_down_members(self) -> None:
-        """Ask the members that failed whether they answer again."""
-        down = [m for m in self._known.listed.members if m.disk_id in self._down]
-        self._down.intersection_update(member.disk_id for member in down)
-        await asyncio.gather(*(self._probe(member) for member in down))
+        """Ask the members that failed whether they answer and take writes again."""
+        members = self._known.listed.members
+        known = {member.disk_id for member in members}
+        self._down &= known
+        self._read_only &= known
+        failed = [member for member in members if not self._takes_writes(member)]
+        await asyncio.gather(*(self._probe(member) for member in failed))
 
     async def _probe(self, member: Member) -> None:
         try:
@@ -118,10 +127,30 @@
         except (LentilroadError, TimeoutError):
             # It stays down; the failure that put it there was logged.
             return
-        if not reply.stalled:
+        if reply.stalled:
+            return
+        if not reply.writable:
+            self._note_read_only(member)
+        elif member.disk_id in self._read_only:
+            self._read_only.discard(member.disk_id)
+            log_event("storage_member_writable", member=member.node)
+        if member.disk_id in self._down:
             self._down.discard(member.disk_id)
             log_event("storage_member_regained", member=member.node)
 
+    def _takes_writes(self, member: Member) -> bool:
+        disk_id = member.disk_id
+        return disk_id not in self._down and disk_id not in self._read_only
+
+    def _note_read_only(self, member: Member) -> None:
+        if member.disk_id not in self._read_only:
+            self._read_only.add(member.disk_id)
+            log_event(
+                "storage_member_read_only",
+                member=member.node,
+                map_version=self._known.version,
+            )
+
     async def put_turn(self, record: TurnRecord, *, key: str) -> None:
         """Store a turn on one disk more than may be lost at once.
 
@@ -137,7 +166,8 @@
         UnavailableError
             Too few members acknowledged the turn in time.
         """
-        candidates = self._nearest(key)
+        # The order of members that take writes stays.
+        candidates = sorted(self._nearest(key), key=lambda m: not self._takes_writes(m))
         copies = self._losses + 1
         record.holders = [m.disk_id for m in candidates[: copies + 2]]
         request = PutTurns(turns=[record])
@@ -223,7 +253,13 @@
         slots = program_slots(known.listed, program_id, losses=self._losses)
         quorum = len(slots) // 2 + 1
         members = program_members(known.listed, program_id, losses=self._losses)
-        up = [member for member in members if member.disk_id not in self._down]
+        # Grants are read from disks that refuse writes as well.
+        up = [
+            member
+            for member in members
+            if self._takes_writes(member)
+            or (grant is None and member.disk_id not in self._down)
+        ]
         if len(up) < quorum:
             raise UnavailableError(
                 f"{len(up)} of {quorum} storage members answer here or through other "
@@ -233,7 +269,10 @@
         request = Reserve(program_id=program_id, map_version=known.version, grant=grant)
         merged: dict[str, Grant] = {}
         answered = 0
-        waiting = self._by_distance(members, program_id)
+        waiting = sorted(
+            self._by_distance(members, program_id),
+            key=lambda m: not self._takes_writes(m),
+        )
         async with _Calls(keep_running=True) as calls:
             for member in waiting[:quorum]:
                 calls.start(self._reserve(member, request, RESERVE_TIMEOUT_S))
@@ -366,6 +405,9 @@
         )
 
     def _suspect(self, member: Member, error: BaseException) -> None:
+        if isinstance(error, DiskRefusedError):
+            self._note_read_only(member)
+            return
         answered = isinstance(error, (StaleMapError, NotCaughtUpError))
         if not answered and member.disk_id not in self._down:
             self._down.add(member.disk_id)
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -8,8 +8,13 @@
 # A program that was stopped may come back within the retention of its turns.
 LEDGER_RETENTION_S = 180.0
 SEGMENT_BYTES = 4 * 1024 * 1024
-# Share of the disk that segments may take before the oldest are removed early.
+# Share of the disk that segments may take. Beyond it new turns go to other disks until
+# the retention of old ones ends: what was acknowledged is never removed early.
 DISK_SHARE = 0.8
+# Share at which the log warns.
+DISK_WARN_SHARE = 0.6
+# A disk that refused a write is tried again at this interval.
+DISK_RETRY_S = 0.5
 SWEEP_INTERVAL_S = 5.0
 # In-region calls take 1 to 5 ms, calls to another region 25 ms.
 READ_HEDGE_AFTER_S = 0.08
--- a/lentilroad/conversation/errors.py
+++ b/lentilroad/conversation/errors.py
@@ -17,3 +17,11 @@
 
     code = "storage_not_caught_up"
     http_status = 503
+
+
+class DiskRefusedError(LentilroadError):
+    """The disk refused a write, or is too full to take one."""
+
+    code = "disk_refused"
+    http_status = 503
+    default_outcome = "unknown"
--- a/lentilroad/conversation/journal.py
+++ b/lentilroad/conversation/journal.py
@@ -13,21 +13,13 @@
 import xxhash
 
 from lentilroad.clock import Clock
-from lentilroad.errors import LentilroadError
+from lentilroad.conversation.errors import DiskRefusedError
 from lentilroad.process.events import log_event
 
 _HEADER = struct.Struct("<IQ")
 _SUFFIX = ".segment"
 
 
-class JournalError(LentilroadError):
-    """The disk refused a write."""
-
-    code = "journal_failed"
-    http_status = 503
-    default_outcome = "unknown"
-
-
 class Journal:
     """Segments of checksummed records in one folder.
 
@@ -58,6 +50,8 @@
         self._wake = threading.Condition()
         # Monotonic time since which the thread writes; None while it is idle.
         self._writing_since_s: float | None = None
+        # The same since which the disk refuses writes; None while it takes them.
+        self.refused_since_s: float | None = None
         self._stopped = False
         self._thread: threading.Thread | None = None
 
@@ -83,7 +77,7 @@
 
         Raises
         ------
-        JournalError
+        DiskRefusedError
             The disk refused the write.
         """
         loop = asyncio.get_running_loop()
@@ -150,7 +144,8 @@
                 self._write([payload for payload, _, _ in batch])
             except OSError as failed:
                 error = failed
-                self._close_file()
+                self._drop_unsynced()
+            self._note_outcome(error, loop=batch[0][2])
             self._writing_since_s = None
             for _, future, loop in batch:
                 _post(loop, _settle(future, self._number, error))
@@ -172,6 +167,36 @@
         os.fdatasync(self._file)
         self._file_bytes += len(data)
 
+    def _drop_unsynced(self) -> None:
+        """Cut the segment back to its last sync, so that the next write goes there.
+
+        A new segment for each refused write would fill the folder with empty files.
+        """
+        try:
+            os.ftruncate(self._file, self._file_bytes)
+        except OSError:
+            # Nothing may follow a torn record; `read` reports it.
+            self._close_file()
+
+    def _note_outcome(
+        self, error: OSError | None, *, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        """Log when the disk begins and ends to refuse writes."""
+        now_s = self._clock.monotonic_s()
+        since_s = self.refused_since_s
+        if error is None and since_s is not None:
+            self.refused_since_s = None
+            self._log(loop, "disk_takes_writes", refused_s=round(now_s - since_s, 3))
+        if error is not None and since_s is None:
+            self.refused_since_s = now_s
+            self._log(loop, "disk_refuses_writes", error=str(error))
+
+    def _log(
+        self, loop: asyncio.AbstractEventLoop, event: str, **fields: object
+    ) -> None:
+        folder = str(self._folder)
+        _post(loop, lambda: log_event(event, folder=folder, **fields))
+
     def _close_file(self) -> None:
         if self._file >= 0:
             os.close(self._file)
@@ -188,7 +213,7 @@
             future.set_result(number)
             return
         future.set_exception(
-            JournalError(f"the disk refused a write ({error}); free space on it")
+            DiskRefusedError(f"the disk refused a write ({error}); free space on it")
         )
 
     return settle
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -168,6 +168,8 @@
     ----------
     stalled : bool
         Whether the disk holds up writes.
+    writable : bool
+        Whether the disk takes writes; reads are answered in any case.
     """
 
     disk_id: str
@@ -175,6 +177,7 @@
     map_version: int = 0
     members: bytes = b""
     stalled: bool = False
+    writable: bool = True
 
 
 class Announcement(Message):
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -12,11 +12,16 @@
 from lentilroad.conversation.const import (
     DISK_SHARE,
     DISK_STALL_S,
+    DISK_WARN_SHARE,
     LEDGER_RETENTION_S,
     PULL_BATCH_BYTES,
     RETENTION_MARGIN_S,
 )
-from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
+from lentilroad.conversation.errors import (
+    DiskRefusedError,
+    NotCaughtUpError,
+    StaleMapError,
+)
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.messages import (
     Chain,
@@ -59,6 +64,8 @@
     grants: dict[str, Grant]
     expires_s: float
     segment: int
+    # Newest revision of each grant that is on the disk.
+    synced: dict[str, int] = field(default_factory=dict)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -102,7 +109,10 @@
         self._listed_disks = listed_disks
         self._members = members
         self._least_map_version = 0
+        # The same as far as it is on the disk.
+        self._least_synced_version = 0
         self._leaving = False
+        self._used_share = 0.0
         self._turns: dict[str, _HeldTurn] = {}
         self._ledgers: dict[str, _HeldLedger] = {}
 
@@ -121,10 +131,12 @@
             if entry.ledger is not None:
                 age_s = max(0.0, wall_s - entry.ledger.touched_s)
                 self._merge_ledger(entry.ledger, segment, age_s)
+                _note_synced(self._ledgers[entry.ledger.program_id], entry.ledger)
             if entry.complete_as is not None:
                 self.complete = entry.complete_as == self.disk_id
             if entry.least_map_version is not None:
                 self._least_map_version = entry.least_map_version
+                self._least_synced_version = entry.least_map_version
         self.sweep()
         log_event(
             "storage_recovered",
@@ -145,15 +157,33 @@
 
     async def refuse_maps_before(self, version: int) -> None:
         """Decide on budgets only for callers that know this version or a later one."""
-        if version <= self._least_map_version:
+        if version <= self._least_synced_version:
             return
-        self._least_map_version = version
+        self._least_map_version = max(version, self._least_map_version)
+        await self._sync_least_version()
+
+    async def _sync_least_version(self) -> None:
+        version = self._least_map_version
         await self._journal.append(_ENCODER.encode(_Entry(least_map_version=version)))
+        self._least_synced_version = max(version, self._least_synced_version)
 
     async def put_turns(self, request: PutTurns) -> Stored:
-        """Store turns; returns after they are synced."""
+        """Store turns; returns after they are synced.
+
+        Raises
+        ------
+        StaleMapError
+            The disk is about to be removed.
+        DiskRefusedError
+            The disk refused the write, or is too full.
+        """
         if self._leaving:
             raise StaleMapError("write to the other storage members")
+        if self._used_share >= DISK_SHARE:
+            raise DiskRefusedError(
+                f"the disk is used to {self._used_share:.0%}; write to the other "
+                "storage members"
+            )
         now_s = self._clock.time_s()
         for record in request.turns:
             record.written_s = record.written_s or now_s
@@ -210,7 +240,11 @@
         change = request.grant
         if change is not None:
             known = grants.get(change.grant_id)
-            if known is None or known.revision < change.revision:
+            # A repeated call may find the grant in memory while, or after, the disk
+            # holds up or refuses its write.
+            synced = held.synced.get(change.grant_id, -1) if held is not None else -1
+            unsynced = not request.lazy and synced < change.revision
+            if known is None or known.revision < change.revision or unsynced:
                 await self._change_grant(request, change)
         held = self._ledgers.get(request.program_id)
         found = list(held.grants.values()) if held is not None else []
@@ -261,6 +295,7 @@
         )
         for ledger, segment in zip(request.ledgers, segments, strict=True):
             self._merge_ledger(ledger, segment, 0.0)
+            _note_synced(self._ledgers[ledger.program_id], ledger)
         return Stored(disk_id=self.disk_id)
 
     async def which_turns(self, request: WhichTurns) -> HeldTurns:
@@ -278,8 +313,29 @@
             map_version=version,
             members=members,
             stalled=self._journal.waiting_s() > DISK_STALL_S,
+            writable=self.writable(),
         )
 
+    def writable(self) -> bool:
+        """Return whether the disk takes writes."""
+        refused = self._journal.refused_since_s is not None
+        return not refused and self._used_share < DISK_SHARE
+
+    def used_share(self) -> float:
+        """Return the share of the disk in use at the last sweep."""
+        return self._used_share
+
+    async def try_disk(self) -> None:
+        """Write a record to a disk that refused the last one."""
+        if self._journal.refused_since_s is None:
+            return
+        # Records that say what is known already change nothing when they are read.
+        try:
+            await self._sync_least_version()
+        except DiskRefusedError:
+            # The journal logged when the disk began to refuse writes.
+            return
+
     def turns(self) -> list[TurnRecord]:
         """Return all turns held."""
         return [held.record for held in self._turns.values()]
@@ -300,30 +356,30 @@
         for program_id, ledger in list(self._ledgers.items()):
             if ledger.expires_s <= now_s:
                 del self._ledgers[program_id]
-        self._drop_oldest_over(int(self._disk_bytes * DISK_SHARE))
+        self._remove_unused()
 
-    def _drop_oldest_over(self, limit_bytes: int) -> None:
+    def _remove_unused(self) -> None:
         used = [held.segment for held in self._turns.values()]
         used += [held.segment for held in self._ledgers.values()]
-        oldest = min(used, default=self._journal.current_segment())
-        self._journal.remove_before(oldest)
-        if self._journal.size_bytes() <= limit_bytes:
-            return
-        log_event(
-            "storage_full",
-            segment=oldest,
-            limit_bytes=limit_bytes,
-            remedy="use larger disks or more instances with disks",
-        )
-        for turn_id, held in list(self._turns.items()):
-            if held.segment <= oldest:
-                del self._turns[turn_id]
-        self._journal.remove_before(oldest + 1)
+        self._journal.remove_before(min(used, default=self._journal.current_segment()))
+        before_share = self._used_share
+        size_bytes = self._journal.size_bytes()
+        self._used_share = size_bytes / max(1, self._disk_bytes)
+        if before_share < DISK_WARN_SHARE <= self._used_share:
+            log_event(
+                "disk_filling",
+                disk=self.disk_id,
+                size_bytes=size_bytes,
+                disk_bytes=self._disk_bytes,
+                remedy="use larger disks or more instances with disks",
+            )
 
     async def _change_grant(self, request: Reserve, change: Grant) -> None:
         held = self._ledgers.get(request.program_id)
         merged = dict(held.grants) if held is not None else {}
-        merged[change.grant_id] = change
+        known = merged.get(change.grant_id)
+        if known is None or known.revision < change.revision:
+            merged[change.grant_id] = change
         ledger = Ledger(
             program_id=request.program_id,
             grants=list(merged.values()),
@@ -335,10 +391,12 @@
         self._merge_ledger(ledger, segment, 0.0)
         if request.lazy:
             return
+        # A refused write leaves the grant counted in memory, which is on the safe side.
         segment = await self._journal.append(_ENCODER.encode(_Entry(ledger=ledger)))
         current = self._ledgers.get(request.program_id)
         if current is not None:
             current.segment = max(current.segment, segment)
+            _note_synced(current, ledger)
 
     def _hold_turn(self, record: TurnRecord, segment: int, age_s: float) -> None:
         lifetime_s = record.retention_s + RETENTION_MARGIN_S - age_s
@@ -364,3 +422,9 @@
             known = held.grants.get(grant.grant_id)
             if known is None or known.revision < grant.revision:
                 held.grants[grant.grant_id] = grant
+
+
+def _note_synced(held: _HeldLedger, ledger: Ledger) -> None:
+    for grant in ledger.grants:
+        synced = held.synced.get(grant.grant_id, -1)
+        held.synced[grant.grant_id] = max(synced, grant.revision)
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -4,13 +4,18 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import msgspec
 
 from lentilroad.clock import Clock, SystemClock
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import start_server
-from lentilroad.conversation.const import SEGMENT_BYTES, SWEEP_INTERVAL_S
+from lentilroad.conversation.const import (
+    DISK_RETRY_S,
+    SEGMENT_BYTES,
+    SWEEP_INTERVAL_S,
+)
 from lentilroad.conversation.joining import Joining, MapStore, read_disk_id
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.members import (
@@ -62,7 +67,7 @@
     clock = SystemClock()
     metadata = MetadataClient(address=settings.metadata_address, clock=clock)
     peers = PeerConnections(clock=clock)
-    disk_id, new_disk = read_disk_id(settings.data_folder)
+    disk_id, new_disk, journal = await _open_disk(settings.data_folder, clock)
     listed: set[str] = set()
     known = MemberMap(version=0, listed=MemberList())
 
@@ -72,11 +77,6 @@
         listed.clear()
         listed.update(member.disk_id for member in newer.listed.members)
 
-    journal = Journal(
-        folder=settings.data_folder / "journal",
-        segment_bytes=SEGMENT_BYTES,
-        clock=clock,
-    )
     replica = Replica(
         journal=journal,
         disk_id=disk_id,
@@ -127,6 +127,8 @@
     telemetry.gauge("turns_held", lambda: len(replica.turns()))
     telemetry.gauge("disk_complete", lambda: int(replica.complete))
     telemetry.gauge("disk_write_s", journal.waiting_s)
+    telemetry.gauge("disk_writable", lambda: int(replica.writable()))
+    telemetry.gauge("disk_used_share", replica.used_share)
     telemetry.gauge("metadata_calls", lambda: metadata.calls)
     await serve_text(
         f"{settings.ip}:{settings.metrics_port}",
@@ -167,12 +169,34 @@
                 on_change=on_retire,
             ),
             repeat(_awaited(replica.sweep), SWEEP_INTERVAL_S, clock),
+            repeat(replica.try_disk, DISK_RETRY_S, clock),
         ],
         stop,
         finish,
     )
 
 
+async def _open_disk(folder: Path, clock: Clock) -> tuple[str, bool, Journal]:
+    """Return the identity of the disk, whether it is new, and its journal.
+
+    A disk that refuses its first write is tried again: ending the process would only
+    repeat the same start.
+    """
+    reported = ""
+    while True:
+        try:
+            disk_id, new_disk = read_disk_id(folder)
+            journal = Journal(
+                folder=folder / "journal", segment_bytes=SEGMENT_BYTES, clock=clock
+            )
+            return disk_id, new_disk, journal
+        except OSError as error:
+            if str(error) != reported:
+                reported = str(error)
+                log_event("disk_refuses_writes", folder=str(folder), error=reported)
+            await clock.sleep(DISK_RETRY_S)
+
+
 def _awaited(step: Callable[[], None]) -> Callable[[], Awaitable[None]]:
     async def run() -> None:
         step()
--- /dev/null
+++ b/tests/conversation/test_full_disks.py
@@ -0,0 +1,214 @@
+"""Disks that refuse every write: conversations and budgets are untouched by them."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from lentilroad.clock import SystemClock
+from lentilroad.conversation import journal as journal_module
+from lentilroad.conversation.allowance import Allowances
+from lentilroad.conversation.const import DISK_SHARE
+from lentilroad.conversation.errors import DiskRefusedError
+from lentilroad.conversation.journal import Journal
+from lentilroad.conversation.messages import Grant, PutTurns, Reserve
+from lentilroad.errors import BudgetExhaustedError
+from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.storage_cluster import StorageCluster, turn
+
+THREE = ["dakar", "saint-louis", "thies"]
+RECORDS = [b"a" * 40, b"b" * 40, b"c" * 40]
+RECORD_BYTES = 12 + 40
+
+
+class _FullDisk:
+    """Refuses writes after a number of bytes, in the middle of one if need be."""
+
+    def __init__(self, left_bytes: int) -> None:
+        self.left_bytes = left_bytes
+        self.created = 0
+
+    def write(self, file: int, data: bytes) -> int:
+        """Write what fits."""
+        if self.left_bytes <= 0:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        written = os.write(file, data[: self.left_bytes])
+        self.left_bytes -= written
+        return written
+
+    def open(self, path: Path, flags: int, mode: int) -> int:
+        """Count the files that are created."""
+        self.created += 1
+        return os.open(path, flags, mode)
+
+
+class _Os:
+    """Functions of the operating system with a disk that is full at times."""
+
+    def __init__(self, disk: _FullDisk) -> None:
+        self._disk = disk
+
+    def __getattr__(self, name: str):
+        return getattr(self._disk if name in ("write", "open") else os, name)
+
+
+@pytest.mark.parametrize("left_bytes", range(0, 3 * RECORD_BYTES + 1, 7))
+async def test_journal_that_fills_up_reads_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, left_bytes: int
+) -> None:
+    """Guard against acknowledged records that are lost behind a torn write."""
+    disk = _FullDisk(left_bytes)
+    monkeypatch.setattr(journal_module, "os", _Os(disk))
+    journal = Journal(folder=tmp_path, segment_bytes=10**6, clock=SystemClock())
+    acknowledged = []
+    for record in RECORDS:
+        try:
+            await journal.append(record)
+            acknowledged.append(record)
+        except DiskRefusedError:
+            assert journal.refused_since_s is not None
+    for _ in range(20):
+        if len(acknowledged) < len(RECORDS):
+            with pytest.raises(DiskRefusedError):
+                await journal.append(b"x")
+    assert disk.created == 1
+    disk.left_bytes = 10**6
+    await journal.append(b"later")
+    assert journal.refused_since_s is None
+    journal.close()
+    restarted = Journal(folder=tmp_path, segment_bytes=10**6, clock=SystemClock())
+    found = [payload for _, payload in restarted.read()]
+    assert found == [*acknowledged, b"later"]
+
+
+def test_turns_go_on_and_are_read_while_a_disk_is_full() -> None:
+    """Guard against conversations that stall or are forgotten on a full disk."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=THREE, losses=1)
+        await cluster.form()
+        client = cluster.client("dakar")
+        await client.put_turn(turn("a"), key="p")
+        near = cluster.nodes["store-0"]
+        assert near.holds("a")
+        near.journal.full = True
+        clock = cluster.clock
+        await client.put_turn(turn("b", "a"), key="p")
+        began_s = clock.monotonic_s()
+        await client.put_turn(turn("c", "b"), key="p")
+        # The full disk is not asked again for every turn.
+        assert clock.monotonic_s() - began_s < 0.06
+        assert client.available()
+        began_s = clock.monotonic_s()
+        found = await client.read_chain("a", key="p")
+        assert found[0].turn_id == "a"
+        # The nearest member answers reads although its disk is full.
+        assert clock.monotonic_s() - began_s < 0.01
+        near.journal.full = False
+        await near.replica.try_disk()
+        await client.probe_down_members()
+        await client.put_turn(turn("d", "c"), key="p")
+        assert near.holds("d")
+
+    run_virtual(run())
+
+
+def test_grant_on_a_full_disk_counts_only_after_its_write() -> None:
+    """Guard against a repeated reservation that is answered from memory alone."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=THREE, losses=1)
+        await cluster.form()
+        node = cluster.nodes["store-0"]
+        node.journal.full = True
+        grant = Grant(
+            grant_id="g", tokens=10, confirmed_tokens=0, needed_tokens=10, revision=1
+        )
+        request = Reserve(
+            program_id="p", map_version=cluster.stored.known.version, grant=grant
+        )
+        for _ in range(2):
+            with pytest.raises(DiskRefusedError):
+                await node.replica.reserve(request)
+        node.journal.full = False
+        written = len(node.journal.records)
+        await node.replica.reserve(request)
+        assert len(node.journal.records) == written + 1
+        await node.replica.reserve(request)
+        assert len(node.journal.records) == written + 1
+
+    run_virtual(run())
+
+
+def test_repeated_reservation_waits_for_the_first_write() -> None:
+    """Guard against a grant that counts while a stalled disk still holds its write."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=THREE, losses=1)
+        await cluster.form()
+        node = cluster.nodes["store-0"]
+        node.journal.stalled = True
+        grant = Grant(
+            grant_id="g", tokens=10, confirmed_tokens=0, needed_tokens=10, revision=1
+        )
+        request = Reserve(
+            program_id="p", map_version=cluster.stored.known.version, grant=grant
+        )
+        first = asyncio.ensure_future(node.replica.reserve(request))
+        await cluster.clock.sleep(0.1)
+        second = asyncio.ensure_future(node.replica.reserve(request))
+        await cluster.clock.sleep(0.1)
+        assert not second.done()
+        node.journal.stalled = False
+        await asyncio.gather(first, second)
+
+    run_virtual(run())
+
+
+def test_budgets_hold_while_one_disk_is_full() -> None:
+    """Guard against a budget that is exceeded, or refused, beside a full disk."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=THREE, losses=1)
+        await cluster.form()
+        cluster.nodes["store-1"].journal.full = True
+        entries = []
+        for name in ("e1", "e2"):
+            client = cluster.client("dakar", name)
+            entries.append(
+                Allowances(
+                    reserve=client.reserve, confirm=client.confirm, clock=cluster.clock
+                )
+            )
+        for entry in entries:
+            await entry.acquire("p", 40, 100)
+        cluster.nodes["store-0"].kill()
+        cluster.nodes["store-0"].start()
+        await cluster.clock.sleep(1.0)
+        with pytest.raises(BudgetExhaustedError):
+            await entries[0].acquire("p", 40, 100)
+
+    run_virtual(run())
+
+
+def test_disk_beyond_its_share_refuses_turns_and_keeps_what_it_holds() -> None:
+    """Guard against acknowledged turns that are removed early to make room (LOST)."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=THREE, losses=1)
+        await cluster.form()
+        replica = cluster.nodes["store-0"].replica
+        record = turn("a", input=b"x" * 1000)
+        await replica.put_turns(PutTurns(turns=[record]))
+        replica._disk_bytes = int(1000 / DISK_SHARE)
+        replica.sweep()
+        assert not replica.writable()
+        with pytest.raises(DiskRefusedError):
+            await replica.put_turns(PutTurns(turns=[turn("b")]))
+        assert cluster.nodes["store-0"].holds("a")
+
+    run_virtual(run())
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -8,6 +8,7 @@
 
 from lentilroad.clock import Clock, LoopClock
 from lentilroad.conversation.client import Place, StorageClient
+from lentilroad.conversation.errors import DiskRefusedError
 from lentilroad.conversation.joining import Joining, MapStore
 from lentilroad.conversation.members import (
     Member,
@@ -42,11 +43,15 @@
     ----------
     stalled : bool
         Whether the disk holds up all writes.
+    full : bool
+        Whether the disk refuses all writes.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self.records: list[bytes] = []
         self.stalled = False
+        self.full = False
+        self.refused_since_s: float | None = None
         self._clock = clock
 
     def read(self) -> Iterator[tuple[int, bytes]]:
@@ -58,6 +63,10 @@
         await self._clock.sleep(SYNC_S)
         while self.stalled:
             await self._clock.sleep(SYNC_S)
+        if self.full:
+            self.refused_since_s = self.refused_since_s or self._clock.monotonic_s()
+            raise DiskRefusedError("the disk is full; free space on it")
+        self.refused_since_s = None
         self.records.append(payload)
         return 1
 
