--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -107,6 +107,8 @@
         self._keep = False
         self._error: str | None = None
         self.closed = False
+        # Whether an earlier exchange ended on this connection.
+        self.used_before = False
         self.idle_until_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -239,6 +241,7 @@
         )
         self._parser = None
         self._expects = None
+        self.used_before = True
         if not reusable:
             self.abort()
         return reusable
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -146,6 +146,7 @@
         not_run=head.value(NOT_EXECUTED) is not None or wrong_instance,
         sealed=head.value(SEAL) is not None,
         wrong_instance=wrong_instance,
+        identified=head.value(REQUEST_ID) is not None,
     )
 
 
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -230,6 +230,13 @@
                 f"{exchange.service} sent an answer without a signature",
                 outcome="unknown",
             )
+        if not facts.identified and connection.used_before:
+            # It may be a late second answer to the request before.
+            raise UpstreamError(
+                f"{exchange.service} sent an answer that names no request on a "
+                "connection that was used before",
+                outcome="unknown",
+            )
 
     async def _response_head(
         self,
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -62,11 +62,14 @@
         The answer bears the upstream's signature.
     wrong_instance : bool
         Another instance than the expected one has the address.
+    identified : bool
+        The answer names the request that it belongs to.
     """
 
     not_run: bool
     sealed: bool
     wrong_instance: bool
+    identified: bool
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
