Read numbers of callers and servers without exceptions

Cause: fuzzing (tests/connection/test_fuzzing.py) found that a number of more than 4,300 digits, a superscript digit in the parts of a prompt, or a time that is not a number ended the task of the request: a 500 of no kind for the caller, or an exchange that was given up. Change: such values count as not stated.

--- a/lentilroad/connection/http_pool.py
+++ b/lentilroad/connection/http_pool.py
@@ -86,6 +86,6 @@
     """Return for how many seconds a connection may stay idle before its next use."""
     for part in (head.value(b"keep-alive") or b"").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        if name.lower() == b"timeout" and value.isdigit() and len(value) < 10:
             return max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_KEEP_ALIVE_S
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -25,6 +25,9 @@
 COOKIE = b"cookie"
 LAST_EVENT = b"last-event-id"
 
+# Longer numbers are none of a count or a size, and int() refuses very long ones.
+MOST_DIGITS = 18
+
 _HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -184,16 +187,19 @@
 
 
 def _whole(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
+    if value is None or len(value) > MOST_DIGITS or not value.strip().isdigit():
         return None
     return int(value)
 
 
 def _seconds(value: bytes | None) -> float | None:
     try:
-        return None if value is None else float(value) / 1000
+        seconds = None if value is None else float(value) / 1000
     except ValueError:
         return None
+    if seconds is None or not 0.0 <= seconds < float("inf"):
+        return None
+    return seconds
 
 
 def _token_counts(value: bytes) -> tuple[int, int]:
@@ -213,6 +219,7 @@
     parts = []
     for part in value.decode("latin-1").split(","):
         identity, _, tokens = part.strip().partition(":")
-        if identity and tokens.isdigit():
-            parts.append((identity, int(tokens)))
+        count = _whole(tokens.encode("latin-1"))
+        if identity and count is not None:
+            parts.append((identity, count))
     return tuple(parts)
