Read a history only where a turn continues one

Cause: every stream started a task for a history that routes without kept conversations do not have. Ruled out: nothing else changes. Before and after: tests/request/test_route_combinations.py passes; no figure is claimed.

--- a/lentilroad/conversation/turns.py
+++ b/lentilroad/conversation/turns.py
@@ -33,6 +33,9 @@
     instance_id: str
 
 
+_NO_HISTORY = History(text=b"", instance_id="")
+
+
 class HistoryCache:
     """Histories of recent turns, least recently used first out.
 
@@ -190,8 +193,10 @@
         UnavailableError
             The storage members could not tell.
         """
-        keeps = retention_s is not None
-        reading = asyncio.ensure_future(self._history(inbound if keeps else None))
+        # The history is read while the tokens are reserved.
+        reading = None
+        if retention_s is not None and inbound.previous_turn_id:
+            reading = asyncio.ensure_future(self._history(inbound))
         reserved = False
         turn: Turn | None = None
         try:
@@ -204,7 +209,7 @@
                 reserved = True
             turn = Turn(
                 inbound=inbound,
-                history=await reading,
+                history=_NO_HISTORY if reading is None else await reading,
                 retention_s=retention_s,
                 event_tokens=event_tokens,
                 storage=self._storage,
@@ -212,7 +217,8 @@
             )
             yield turn
         finally:
-            _discard(reading)
+            if reading is not None:
+                _discard(reading)
             if reserved:
                 self._allowances.settle(
                     inbound.program_id,
@@ -220,10 +226,8 @@
                     turn.used_tokens() if turn is not None else 0,
                 )
 
-    async def _history(self, inbound: InboundRequest | None) -> History:
-        previous_id = "" if inbound is None else inbound.previous_turn_id
-        if inbound is None or not previous_id:
-            return History(text=b"", instance_id="")
+    async def _history(self, inbound: InboundRequest) -> History:
+        previous_id = inbound.previous_turn_id
         cached = self._cache.get(previous_id)
         if cached is not None:
             return cached
