--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -151,3 +151,42 @@
         assert ("regained" in seen) is told
         if told:
             assert seen.index("regained") < seen.index("removed")
+
+
+async def test_view_after_a_restart_holds_only_what_the_store_lists() -> None:
+    """Guard against an instance that left while the process was away."""
+    async with _store() as (store, client):
+        await store.put("servers/gone", b"1")
+        await store.put("servers/here", b"1")
+        views: list[set[str]] = []
+
+        async def start() -> asyncio.Task[None]:
+            listed = asyncio.Event()
+
+            def on_listing(listing: Listing) -> None:
+                views.append({item.key for item in listing.items})
+                listed.set()
+
+            task = asyncio.create_task(
+                follow_prefix(
+                    client,
+                    "servers/",
+                    clock=SystemClock(),
+                    on_listing=on_listing,
+                    on_change=lambda item: None,
+                )
+            )
+            async with asyncio.timeout(5.0):
+                await listed.wait()
+            return task
+
+        first = await start()
+        first.cancel()
+        await store.remove("servers/gone")
+        # The store answers no call until the process has started again.
+        store.refusing = True
+        restarting = asyncio.create_task(start())
+        await asyncio.sleep(0.3)
+        store.refusing = False
+        (await restarting).cancel()
+    assert views == [{"servers/gone", "servers/here"}, {"servers/here"}]
