--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lentilroad.clock import Clock
+from lentilroad.conversation.calls import Calls
 from lentilroad.conversation.const import (
     MEMBER_PROBE_TIMEOUT_S,
     READ_HEDGE_AFTER_S,
@@ -171,7 +172,7 @@
         copies = self._losses + 1
         record.holders = [m.disk_id for m in candidates[: copies + 2]]
         request = PutTurns(turns=[record])
-        async with _Calls() as calls:
+        async with Calls() as calls:
             waiting = list(candidates[: copies + 2])
             for member in waiting[:copies]:
                 calls.start(self._put(member, request))
@@ -273,7 +274,7 @@
             self._by_distance(members, program_id),
             key=lambda m: not self._takes_writes(m),
         )
-        async with _Calls(keep_running=True) as calls:
+        async with Calls(keep_running=True) as calls:
             for member in waiting[:quorum]:
                 calls.start(self._reserve(member, request, RESERVE_TIMEOUT_S))
             waiting = waiting[quorum:]
@@ -374,7 +375,7 @@
     async def _find(self, turn_id: str, key: str, due_s: float) -> Chain:
         candidates = self._nearest(key)
         absent: set[str] = set()
-        async with _Calls() as calls:
+        async with Calls() as calls:
             waiting = list(candidates)
             for member in waiting[:1]:
                 calls.start(self._read(member, turn_id))
@@ -443,51 +444,3 @@
         if member.availability_zone != first.availability_zone:
             return [first, member, *ordered[1:index], *ordered[index + 1 :]]
     return ordered
-
-
-class _Calls:
-    """Calls that run side by side and are read as they end."""
-
-    __slots__ = ("_ended", "_keep_running", "_open")
-
-    def __init__(self, *, keep_running: bool = False) -> None:
-        self._open: set[asyncio.Task[Any]] = set()
-        self._ended: asyncio.Queue[Any] = asyncio.Queue()
-        self._keep_running = keep_running
-
-    async def __aenter__(self) -> _Calls:
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        if self._keep_running:
-            return
-        for task in self._open:
-            task.cancel()
-
-    def start(self, call: Awaitable[Any]) -> None:
-        """Start one call."""
-        task = asyncio.ensure_future(call)
-        self._open.add(task)
-        task.add_done_callback(self._finish)
-
-    def open(self) -> bool:
-        """Return whether a call or a result is outstanding."""
-        return bool(self._open) or not self._ended.empty()
-
-    async def next(self, timeout_s: float) -> list[Any]:
-        """Return the results that came within `timeout_s`, at least one if any."""
-        results: list[Any] = []
-        if self._ended.empty() and timeout_s > 0:
-            try:
-                async with asyncio.timeout(timeout_s):
-                    results.append(await self._ended.get())
-            except TimeoutError:
-                return results
-        while not self._ended.empty():
-            results.append(self._ended.get_nowait())
-        return results
-
-    def _finish(self, task: asyncio.Task[Any]) -> None:
-        self._open.discard(task)
-        if not task.cancelled():
-            self._ended.put_nowait(task.result())
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
-import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from lentilroad.clock import Clock
@@ -50,7 +47,6 @@
 
 # Members of the first start take slots only while the deployment forms.
 FORMING_S = 8.0
-DISK_FILE = "disk-id"
 PUSH_BATCH_TURNS = 50
 PUSH_BATCH_LEDGERS = 200
 
@@ -73,30 +69,6 @@
     write: Callable[[MemberList, int], Awaitable[int]]
 
 
-def read_disk_id(folder: Path) -> tuple[str, bool]:
-    """Return the identity of the disk and whether it is new.
-
-    Parameters
-    ----------
-    folder : Path
-        Data folder; an empty one gets a new identity.
-    """
-    path = folder / DISK_FILE
-    try:
-        found = path.read_text(encoding="ascii").strip()
-    except (FileNotFoundError, UnicodeDecodeError):
-        found = ""
-    if len(found) == 16:
-        return found, False
-    disk_id = secrets.token_hex(8)
-    folder.mkdir(parents=True, exist_ok=True)
-    with path.open("w", encoding="ascii") as file:
-        file.write(disk_id)
-        file.flush()
-        os.fsync(file.fileno())
-    return disk_id, True
-
-
 class Joining:
     """Place of this process among the members.
 
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -16,7 +16,8 @@
     SEGMENT_BYTES,
     SWEEP_INTERVAL_S,
 )
-from lentilroad.conversation.joining import Joining, MapStore, read_disk_id
+from lentilroad.conversation.disk_id import read_disk_id
+from lentilroad.conversation.joining import Joining, MapStore
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.members import (
     Member,
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -24,9 +24,10 @@
     MOST_REFUSALS,
     RETRY_AFTER_MOST_S,
 )
-from lentilroad.request.dispatch import Dispatcher, Work
+from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_whole
 from lentilroad.request.inbound import UpstreamProtocol
+from lentilroad.request.work import Work
 
 T = TypeVar("T")
 
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
 
@@ -34,6 +34,7 @@
     base_cost_s,
     place_wait_s,
 )
+from lentilroad.request.work import Work
 
 # Waiting requests that are asked whether they take one free place. Those behind them
 # are asked when the list of instances is swept.
@@ -45,30 +46,6 @@
 _Turn = tuple[tuple[float, ...], int]
 
 
-@dataclass(slots=True, kw_only=True)
-class Work:
-    """What the choice of an instance depends on.
-
-    Attributes
-    ----------
-    rank : tuple of float
-        Order among waiting work; the lowest goes first.
-    preferred : str
-        Instance that served the conversation last.
-    excluded : set of str
-        Instances that refused or failed this request.
-    """
-
-    service: str
-    rank: tuple[float, ...]
-    left_s: float
-    prompt_parts: tuple[tuple[str, int], ...] = ()
-    history_tokens: int = 0
-    preferred: str = ""
-    affinity_key: str = ""
-    excluded: set[str] = field(default_factory=set)
-
-
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Waiter:
     work: Work
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -16,30 +15,28 @@
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.conversation.turns import Turns
 from lentilroad.errors import (
-    BudgetExhaustedError,
     DeadlineExceededError,
     InvalidRequestError,
     LentilroadError,
     NotFoundError,
     OverloadedError,
-    RequestTooLargeError,
     UnavailableError,
-    UpstreamError,
 )
 from lentilroad.membership.upstreams import UpstreamState
 from lentilroad.process.events import log_event
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.attempts import Attempts
+from lentilroad.request.caller_body import discard_body, read_body
 from lentilroad.request.const import (
     DEADLINE_MARGIN_S,
-    DISCARD_BODY_BYTES,
-    DISCARD_BODY_S,
     RETRY_AFTER_MOST_S,
 )
-from lentilroad.request.dispatch import Dispatcher, Work
+from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, WholeAnswer, read_whole
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
+from lentilroad.request.refusals import outcome_unknown, refusal_status
 from lentilroad.request.streaming import StreamRelay
+from lentilroad.request.work import Work
 from lentilroad.version.routes import RouteKind, RouteTable
 
 Decode = Callable[[str, str, tuple[Header, ...]], InboundRequest]
@@ -52,13 +49,6 @@
         """Return when requests can be served, or will not be soon."""
 
 
-class RequestTimeoutError(LentilroadError):
-    """The caller did not send its whole request in time."""
-
-    code = "request_timeout"
-    http_status = 408
-
-
 class Ingress:
     """Handler of callers' requests.
 
@@ -146,7 +136,11 @@
             )
             request_id = inbound.request_id
             exchange = self._route(table, inbound, request, began_s)
-            inbound.body = await self._read_body(exchange, table.limits.body_bytes)
+            inbound.body = await read_body(
+                request,
+                table.limits.body_bytes,
+                timeout_s=exchange.due_s - self._clock.monotonic_s(),
+            )
             if exchange.route.keeps_conversation or inbound.counts_tokens():
                 await self._opening(turns=True)
             return await self._serve(exchange)
@@ -154,8 +148,8 @@
             if exchange is not None and exchange.started:
                 await self._break_off(exchange, error)
             if exchange is not None and exchange.possible_runs:
-                error = _outcome_unknown(exchange, error)
-            await _discard_body(request)
+                error = outcome_unknown(exchange.service, error)
+            await discard_body(request)
             return self._refuse(request, request_id, error, began_s)
         except HttpProcessingError as error:
             return self._refuse(
@@ -202,27 +196,6 @@
             request=request,
         )
 
-    async def _read_body(self, exchange: Exchange, most_bytes: int) -> bytes:
-        request = exchange.request
-        if not request.body_exists:
-            return b""
-        body = bytearray()
-        left_s = exchange.due_s - self._clock.monotonic_s()
-        try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                while chunk := await request.content.readany():
-                    body += chunk
-                    if len(body) > most_bytes:
-                        raise RequestTooLargeError(
-                            f"the body is larger than {most_bytes} bytes; send a "
-                            "smaller one"
-                        )
-        except TimeoutError as error:
-            raise RequestTimeoutError(
-                "the body did not arrive before the deadline; send it again"
-            ) from error
-        return bytes(body)
-
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
         left_s = exchange.due_s - self._clock.monotonic_s()
         try:
@@ -350,7 +323,7 @@
         error: LentilroadError,
         began_s: float,
     ) -> web.Response:
-        status = _status(error)
+        status = refusal_status(error)
         self._telemetry.count("requests", status=str(status))
         log_event(
             "request_refused",
@@ -377,36 +350,6 @@
         return int(1000 * (self._clock.monotonic_s() - began_s))
 
 
-def _outcome_unknown(exchange: Exchange, error: LentilroadError) -> LentilroadError:
-    """Return an error that does not deny the earlier sends of the request."""
-    if error.outcome != "not_run":
-        return error
-    return UpstreamError(
-        f"{exchange.service} did not answer, and no other instance can take the "
-        f"request ({error.message})",
-        outcome="unknown",
-    )
-
-
-def _status(error: LentilroadError) -> int:
-    if isinstance(error, BudgetExhaustedError):
-        return 402
-    if isinstance(
-        error,
-        (
-            NotFoundError,
-            InvalidRequestError,
-            RequestTooLargeError,
-            RequestTimeoutError,
-        ),
-    ):
-        return error.http_status
-    # 503 promises that the request has not run and never will.
-    if error.outcome == "not_run":
-        return 503
-    return 504 if isinstance(error, DeadlineExceededError) else 502
-
-
 def _pick(services: tuple[tuple[str, int], ...], source: random.Random) -> str:
     if len(services) == 1:
         return services[0][0]
@@ -414,20 +357,3 @@
         raise UnavailableError("the route names no service; correct it")
     names = [name for name, _ in services]
     return source.choices(names, weights=[weight for _, weight in services])[0]
-
-
-async def _discard_body(request: web.BaseRequest) -> None:
-    """Read what is left of a body that is refused.
-
-    A connection that is closed with unread bytes is reset, and the caller may lose
-    the answer.
-    """
-    if not request.body_exists or request.content.at_eof():
-        return
-    discarded_bytes = 0
-    with contextlib.suppress(TimeoutError, HttpProcessingError):
-        async with asyncio.timeout(DISCARD_BODY_S):
-            while chunk := await request.content.readany():
-                discarded_bytes += len(chunk)
-                if discarded_bytes > DISCARD_BODY_BYTES:
-                    return
--- a/tests/conversation/test_journal.py
+++ b/tests/conversation/test_journal.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lentilroad.clock import SystemClock
-from lentilroad.conversation.joining import read_disk_id
+from lentilroad.conversation.disk_id import read_disk_id
 from lentilroad.conversation.journal import Journal
 
 
--- a/tests/membership/test_suspicions.py
+++ b/tests/membership/test_suspicions.py
@@ -8,7 +8,8 @@
 from lentilroad.errors import UnavailableError
 from lentilroad.membership.suspicions import SUSPECTED_FOR_S, Suspicions
 from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
-from lentilroad.request.dispatch import Dispatcher, Work
+from lentilroad.request.dispatch import Dispatcher
+from lentilroad.request.work import Work
 from tests.fakes.clock import ManualClock
 
 
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -11,7 +11,8 @@
 from lentilroad.clock import LoopClock
 from lentilroad.errors import OverloadedError, UnavailableError
 from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
-from lentilroad.request.dispatch import Dispatcher, Work
+from lentilroad.request.dispatch import Dispatcher
+from lentilroad.request.work import Work
 from lentilroad.standins.virtual_loop import run_virtual
 
 
--- a/tests/request/test_large_fleet.py
+++ b/tests/request/test_large_fleet.py
@@ -16,7 +16,8 @@
     UpstreamState,
 )
 from lentilroad.request.const import PREFILL_COST_S_PER_TOKEN
-from lentilroad.request.dispatch import Dispatcher, Work
+from lentilroad.request.dispatch import Dispatcher
+from lentilroad.request.work import Work
 from lentilroad.standins.virtual_loop import run_virtual
 
 ZONES = ("a1", "a2", "b1", "b2", "c1", "c2")
