--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -53,8 +53,9 @@
 START_WAIT_S = 2.0
 START_REQUEST_WAIT_S = 1.0
 START_POLL_S = 0.02
-# Far below the seconds within which a draining worker must get no more work.
-WORKER_WATCH_PAUSE_S = 0.8
+# Share of the time for which a draining worker may still get work that passes between
+# two looks at the list of workers. Each look is a call of every entry.
+WORKER_WATCH_PAUSE_SHARE = 0.35
 
 
 async def run_entry(settings: ProcessSettings, listener: socket.socket) -> None:
@@ -157,7 +158,7 @@
             before_changes=lambda changes: directory.note_removals(
                 item.key.removeprefix(WORKER_PREFIX) for item in changes if item.removed
             ),
-            pause_s=WORKER_WATCH_PAUSE_S,
+            pause_s=WORKER_WATCH_PAUSE_SHARE * settings.bounds.drain_s,
         ),
         follow_prefix(
             metadata,
