--- a/lentilroad/capacity/__main__.py
+++ b/lentilroad/capacity/__main__.py
@@ -1,10 +1,10 @@
-"""Measure the slopes and write docs/CAPACITY.md.
+"""Measure the slopes and write docs/capacity-own-interface.md.
 
 Usage:
   capacity [--output=FILE]
 
 Options:
-  --output=FILE  Page to write [default: docs/CAPACITY.md].
+  --output=FILE  Page to write [default: docs/capacity-own-interface.md].
 """
 
 from __future__ import annotations
--- a/lentilroad/capacity/page.py
+++ b/lentilroad/capacity/page.py
@@ -1,4 +1,4 @@
-"""Work out docs/CAPACITY.md from measured slopes."""
+"""Work out docs/capacity-own-interface.md from measured slopes."""
 
 from __future__ import annotations
 
@@ -316,7 +316,7 @@
     """Return the whole page."""
     processes = const.NODES + const.WORKERS
     duties = entry_duties(measured)
-    return f"""# Capacity
+    return f"""# Capacity of the own interface
 
 Written by `script/capacity`; no figure is typed by hand. It works out the size of
 docs/design.md ({const.NODES} entries, {const.WORKERS:,} sidecars,
