--- a/tests/conversation/test_allowance.py
+++ b/tests/conversation/test_allowance.py
@@ -159,6 +159,17 @@
 @pytest.mark.parametrize("seed", range(60))
 def test_random_schedules_never_exceed_the_budget(seed: int) -> None:
     """Guard against budgets that concurrent entries, losses and restarts exceed."""
+    run_budget_schedule(seed, ["wipe", "kill", "cut", "entry"])
+
+
+@pytest.mark.parametrize("seed", range(5000, 5040))
+def test_random_schedules_with_bad_disks_never_exceed_the_budget(seed: int) -> None:
+    """Guard against grants that count before, or without, their write."""
+    run_budget_schedule(seed, ["wipe", "kill", "entry", "full", "stalled"])
+
+
+def run_budget_schedule(seed: int, kinds: list[str]) -> None:
+    """Play one program through several entries beside troubles of some kinds."""
 
     async def run() -> None:
         source = random.Random(seed)
@@ -192,7 +203,7 @@
         async def trouble() -> None:
             for _ in range(5):
                 await cluster.clock.sleep(source.uniform(0.1, 0.5))
-                kind = source.choice(["wipe", "kill", "cut", "entry"])
+                kind = source.choice(kinds)
                 name = source.choice(list(cluster.nodes))
                 if kind == "entry":
                     which = source.choice(list(entries))
@@ -202,6 +213,11 @@
                     cluster.cut.add(pair)
                     await cluster.clock.sleep(source.uniform(0.1, 1.0))
                     cluster.cut.discard(pair)
+                elif kind in ("full", "stalled"):
+                    journal = cluster.nodes[name].journal
+                    setattr(journal, kind, True)
+                    await cluster.clock.sleep(source.uniform(0.1, 1.5))
+                    setattr(journal, kind, False)
                 else:
                     node = cluster.nodes[name]
                     node.wipe() if kind == "wipe" else node.kill()
