Announce a starting entry to the two nearest members only

Change: the first announcements come a second after the start, to two members, until others are known.

--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -57,8 +57,9 @@
 RELAY_MARGIN_S = 0.05
 # Entries tell the storage members where they are at this interval.
 ANNOUNCE_INTERVAL_S = 5.0
-# The same until other entries are known; all processes start at about the same time.
-ANNOUNCE_FIRST_S = 0.5
+# The same in the first seconds, to the nearest members only.
+ANNOUNCE_FIRST_S = 1.0
+ANNOUNCE_FIRST_MEMBERS = 2
 ENTRY_LIFETIME_S = 12.0
 # The nearest members that are told; more would let the messages of a large fleet grow
 # with entries times members.
--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -11,6 +11,7 @@
 
 from lentilroad.clock import Clock
 from lentilroad.conversation.const import (
+    ANNOUNCE_FIRST_MEMBERS,
     ANNOUNCE_FIRST_S,
     ANNOUNCE_INTERVAL_S,
     ANNOUNCE_MEMBERS,
@@ -114,8 +115,18 @@
         """Return whether more members than may be lost do not answer directly."""
         return len(self._unanswered) > self._losses
 
-    async def announce(self, members: Iterable[str]) -> None:
-        """Tell the members, nearest first, where this entry is; learn the others."""
+    async def announce(
+        self, members: Iterable[str], most: int = ANNOUNCE_MEMBERS
+    ) -> None:
+        """Tell the nearest members where this entry is, and learn the others.
+
+        Parameters
+        ----------
+        members : iterable of str
+            Addresses of all members, the nearest first.
+        most : int
+            Members that are told.
+        """
         nearest_first = list(members)
         self._members = set(nearest_first)
         self._unanswered &= self._members
@@ -123,21 +134,25 @@
         await asyncio.gather(
             *(
                 self._announce_to(member, wants_others=number == 0)
-                for number, member in enumerate(reachable[:ANNOUNCE_MEMBERS])
+                for number, member in enumerate(reachable[:most])
             )
         )
 
     async def announce_regularly(self, members: Callable[[], list[str]]) -> None:
-        """Announce this entry as soon as members are known; never returns.
+        """Announce this entry soon after its start and then regularly; never returns.
 
-        An entry that is cut off right after its start needs the others at once.
+        An entry that is cut off right after its start needs others. Only the nearest
+        members are told at first: connections to all would take the processor from
+        the requests that waited for the start.
         """
         started_s = self._clock.monotonic_s()
+        while self._clock.monotonic_s() - started_s < ANNOUNCE_INTERVAL_S:
+            await self._clock.sleep(ANNOUNCE_FIRST_S)
+            if not self._entries:
+                await self.announce(members(), most=ANNOUNCE_FIRST_MEMBERS)
         while True:
             await self.announce(members())
-            starting = self._clock.monotonic_s() - started_s < ANNOUNCE_INTERVAL_S
-            alone = starting and not self._entries
-            await self._clock.sleep(ANNOUNCE_FIRST_S if alone else ANNOUNCE_INTERVAL_S)
+            await self._clock.sleep(ANNOUNCE_INTERVAL_S)
 
     async def probe_unanswered(self) -> None:
         """Ask the members without an answer whether the direct way works again."""
