Name the order of waiting work a queue key

Cause: the dispatcher called a place in its queue a turn, which elsewhere is a turn of a conversation. A rename of private names only; the tests of dispatch, large fleet and suspicions pass, lint is clean.

--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -43,7 +43,7 @@
 RATE_LIFETIME_S = 0.1
 
 # Order among waiting work, then the order of arrival.
-_Turn = tuple[tuple[float, ...], int]
+_QueueKey = tuple[tuple[float, ...], int]
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -59,7 +59,7 @@
 
     def __init__(self, *, index: InstanceIndex) -> None:
         self.index = index
-        self.waiting: SortedDict[_Turn, _Waiter] = SortedDict()
+        self.waiting: SortedDict[_QueueKey, _Waiter] = SortedDict()
         self.rate_per_s = 0.0
         self.rate_until_s = float("-inf")
 
@@ -123,12 +123,12 @@
             return self._take(chosen, work)
         self._refuse_hopeless(service, work)
         waiter = _Waiter(work=work, place=asyncio.get_running_loop().create_future())
-        turn = (work.rank, next(self._numbers))
-        service.waiting[turn] = waiter
+        key = (work.rank, next(self._numbers))
+        service.waiting[key] = waiter
         try:
             return await waiter.place
         except asyncio.CancelledError:
-            service.waiting.pop(turn, None)
+            service.waiting.pop(key, None)
             if waiter.place.done() and not waiter.place.cancelled():
                 # The place was given in the moment in which the request ended.
                 self.release(waiter.place.result())
@@ -156,12 +156,12 @@
         self._parts.forget_old(self._clock.monotonic_s())
         for service in self._services.values():
             service.index.note_time()
-            for turn, waiter in list(service.waiting.items()[:MOST_ASKED]):
+            for key, waiter in list(service.waiting.items()[:MOST_ASKED]):
                 if not service.index.any_free():
                     break
                 chosen = self._choose(service, waiter.work)
                 if chosen is not None:
-                    self._give(service, turn, waiter, chosen)
+                    self._give(service, key, waiter, chosen)
 
     def waiting(self, service: str) -> int:
         """Return how much work waits for a service."""
@@ -324,7 +324,7 @@
         if not service.waiting or service.index.find(instance_id) is not state:
             return
         near_s = self._least_wait_s(service) + HOME_BONUS_S
-        for turn, waiter in list(service.waiting.items()[:MOST_ASKED]):
+        for key, waiter in list(service.waiting.items()[:MOST_ASKED]):
             if state.in_flight >= state.instance.slots:
                 return
             work = waiter.work
@@ -336,12 +336,12 @@
             if cost_s > near_s + _prefill_cost_s(work) + TIE_SPREAD_S:
                 continue
             if cost_s <= self._nearby_wait_s(service, work, home):
-                self._give(service, turn, waiter, state)
+                self._give(service, key, waiter, state)
 
     def _give(
-        self, service: _Service, turn: _Turn, waiter: _Waiter, state: UpstreamState
+        self, service: _Service, key: _QueueKey, waiter: _Waiter, state: UpstreamState
     ) -> None:
-        del service.waiting[turn]
+        del service.waiting[key]
         if not waiter.place.done():
             waiter.place.set_result(self._take(state, waiter.work))
 
