Log and count the rate limits that instances state

Callers and operators could not tell why an overloaded instance still got all of its requests: no line showed whether an entry had received the limit that the instance states in its responses. The choice of an instance is unchanged.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -56,6 +56,23 @@
         return self.instance_id, self.address, self.started_ms
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RateLimit:
+    """Limit that an instance stated in a response.
+
+    Attributes
+    ----------
+    per_s : float or None
+        Requests per second that the instance accepts from all entries together; None
+        if it accepts any number.
+    stated_at_s : float
+        Monotonic time at which the response arrived.
+    """
+
+    per_s: float | None
+    stated_at_s: float
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class UpstreamState:
     """State of one incarnation of an instance, as observed by this process.
@@ -73,6 +90,9 @@
     suspected_until_s : float
         Monotonic time until which the instance is avoided because another entry
         reported it as unresponsive.
+    rate_limit : RateLimit or None
+        Newest known statement of the instance about its limit; None if it never
+        stated one.
     """
 
     instance: UpstreamInstance
@@ -82,6 +102,7 @@
     excluded_until_s: float = 0.0
     suspected_until_s: float = 0.0
     mean_response_s: float = 0.0
+    rate_limit: RateLimit | None = None
     expired: bool = False
     removed: bool = False
     failure_share: float = 0.0
@@ -127,6 +148,29 @@
         oldest_s = next(iter(self.unanswered.values()))
         return now_s - max(oldest_s, self.last_answer_s) > self.response_timeout_s()
 
+    def limit_per_s(self) -> float | None:
+        """Return the instance's rate limit for all entries, or None for no limit."""
+        return self.rate_limit.per_s if self.rate_limit is not None else None
+
+    def record_rate_limit(self, statement: RateLimit) -> None:
+        """Record what an instance stated about its limit, unless newer is known."""
+        known = self.rate_limit
+        if known is None and statement.per_s is None:
+            return
+        if known is not None and known.stated_at_s >= statement.stated_at_s:
+            return
+        previous_per_s = self.limit_per_s()
+        self.rate_limit = statement
+        if statement.per_s == previous_per_s:
+            return
+        log_event(
+            "upstream_rate_limit",
+            instance=self.instance.instance_id,
+            service=self.instance.service,
+            limit_per_s=statement.per_s,
+            previous_per_s=previous_per_s,
+        )
+
     def record_outcome(self, *, failed: bool) -> None:
         """Record whether a request failed."""
         if not failed:
@@ -281,6 +325,10 @@
         """Return all known instances of a service."""
         return list(self._by_service.get(service, {}).values())
 
+    def rate_limited_count(self) -> int:
+        """Return how many instances have a rate limit in force."""
+        return sum(1 for s in self._by_id.values() if s.limit_per_s() is not None)
+
     def find(self, instance_id: str) -> UpstreamState | None:
         """Return an instance by its id, or None if it is unknown."""
         return self._by_id.get(instance_id)
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -14,6 +14,9 @@
 # Signature by which the platform recognizes a response of a worker.
 RESPONSE_SEAL = b"lentilroad-response-seal"
 NOT_EXECUTED = b"lentilroad-not-executed"
+# Requests per second that an overloaded worker accepts from all callers together, in
+# each of its responses while the limit applies.
+RATE_LIMIT = b"server-limit"
 PROGRAM_ID = b"lentilroad-program-id"
 SESSION_ID = b"lentilroad-session-id"
 FINISH_TIME = b"lentilroad-finish-milliseconds"
@@ -167,6 +170,7 @@
         sealed=head.value(RESPONSE_SEAL) is not None,
         wrong_instance=wrong_instance,
         identified=head.value(REQUEST_ID) is not None,
+        rate_limit_per_s=_decode_number(head.value(RATE_LIMIT)),
     )
 
 
@@ -211,13 +215,18 @@
 
 
 def _decode_seconds(value: bytes | None) -> float | None:
+    milliseconds = _decode_number(value)
+    return None if milliseconds is None else milliseconds / 1000
+
+
+def _decode_number(value: bytes | None) -> float | None:
     try:
-        seconds = None if value is None else float(value) / 1000
+        number = None if value is None else float(value)
     except ValueError:
         return None
-    if seconds is None or not 0.0 <= seconds < float("inf"):
+    if number is None or not 0.0 <= number < float("inf"):
         return None
-    return seconds
+    return number
 
 
 def _decode_token_counts(value: bytes) -> tuple[int, int]:
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -14,7 +14,7 @@
     refuses_connections,
 )
 from lentilroad.errors import UnavailableError, UpstreamError
-from lentilroad.membership.upstreams import UpstreamState
+from lentilroad.membership.upstreams import RateLimit, UpstreamState
 from lentilroad.process.events import log_event
 from lentilroad.request.const import (
     EXCLUDE_AFTER_FAILURE_S,
@@ -26,7 +26,7 @@
 )
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_response
-from lentilroad.request.inbound import UpstreamProtocol
+from lentilroad.request.inbound import ResponseFlags, UpstreamProtocol
 from lentilroad.request.work import PlacementRequest
 
 T = TypeVar("T")
@@ -181,6 +181,7 @@
             send=exchange.sends + 1,
             after_event=exchange.after_event,
             version=exchange.version,
+            limit_per_s=state.limit_per_s(),
         )
         async with state.pool.connection() as connection:
             exchange.sends += 1
@@ -213,6 +214,7 @@
     ) -> None:
         """Raise if the response is a refusal or must not be forwarded to the caller."""
         flags = self._protocol.read_flags(head)
+        self._record_statements(state, flags)
         if flags.not_run:
             exchange.possible_runs -= 1
             log_event(
@@ -249,6 +251,19 @@
                 outcome="unknown",
             )
 
+    def _record_statements(self, state: UpstreamState, flags: ResponseFlags) -> None:
+        """Record what the instance states about itself in a response."""
+        # Anything else may come from another process at the same address, or be a late
+        # duplicate of an earlier response.
+        if flags.wrong_instance or not flags.identified:
+            return
+        if flags.rate_limit_per_s is None and not (flags.sealed or flags.not_run):
+            return
+        now_s = self._clock.monotonic_s()
+        state.record_rate_limit(
+            RateLimit(per_s=flags.rate_limit_per_s, stated_at_s=now_s)
+        )
+
     async def _response_head(
         self,
         exchange: Exchange,
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -68,12 +68,16 @@
         The address belongs to another instance than the expected one.
     identified : bool
         The response has the id of its request.
+    rate_limit_per_s : float or None
+        Requests per second that the instance accepts from all entries together; None
+        if it states no limit.
     """
 
     not_run: bool
     sealed: bool
     wrong_instance: bool
     identified: bool
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
