Share the rate limit of an overloaded instance among all entries

Callers saw slow or failed requests while an overloaded instance got up to six times the requests that it had stated it could accept.

Cause: an instance's statement about itself ended at the entry that received it.

Each limited instance now has a coordinator among the storage members, whose list all processes share already. It grants permits at the stated rate; a request to a limited instance needs one. Without a permit, the entry pauses the instance and tries the others; if all are paused, the request waits for its turn or is refused at once with the time of that turn. Entries report changed and withdrawn limits with the age of the statement, so that the newest one wins.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -33,6 +33,7 @@
     decode_members,
     program_members,
     program_slots,
+    rank_coordinators,
 )
 from lentilroad.conversation.messages import (
     PROBE,
@@ -115,6 +116,11 @@
         """Return the addresses of all members, nearest first."""
         return [member.address for member in self._nearest_members("")]
 
+    def coordinators(self, key: str, availability_zone: str) -> list[str]:
+        """Return the addresses of the members that coordinate a key, in order."""
+        ranked = rank_coordinators(self._member_map.member_list, key, availability_zone)
+        return [member.address for member in ranked]
+
     async def probe_failed_members(self) -> None:
         """Probe the members that failed a call or refused a write."""
         members = self._member_map.member_list.members
--- a/lentilroad/conversation/members.py
+++ b/lentilroad/conversation/members.py
@@ -109,3 +109,31 @@
         program_slots(member_list, program_id, losses_tolerated=losses_tolerated)
     )
     return [member for member in member_list.members if member.slot in slots]
+
+
+def rank_coordinators(
+    member_list: MemberList, key: str, availability_zone: str
+) -> list[Member]:
+    """Return all members in the order in which they coordinate a key.
+
+    Members of the given zone come first, since most callers are near it.
+    """
+    return sorted(
+        member_list.members,
+        key=lambda member: (
+            member.availability_zone != availability_zone,
+            score(key, member.disk_id),
+        ),
+    )
+
+
+def coordinator_position(
+    member_list: MemberList, disk_id: str, key: str, availability_zone: str
+) -> int:
+    """Return the position of a disk among the coordinators of a key.
+
+    A disk that is not listed comes after all others.
+    """
+    ranked = rank_coordinators(member_list, key, availability_zone)
+    disk_ids = [member.disk_id for member in ranked]
+    return disk_ids.index(disk_id) if disk_id in disk_ids else len(disk_ids)
--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -36,12 +36,16 @@
     RelayRequest,
 )
 from lentilroad.errors import LentilroadError, UnavailableError
+from lentilroad.membership.rate_limits import ACQUIRE_PERMITS
 from lentilroad.process.events import log_event
 from lentilroad.wire.services import Method
 
 Call = Callable[[str, Method, Any, float], Awaitable[Any]]
 
-_RELAYED = {method.path: method for method in (PROBE, PUT_TURNS, READ_CHAIN, RESERVE)}
+_RELAYED = {
+    method.path: method
+    for method in (ACQUIRE_PERMITS, PROBE, PUT_TURNS, READ_CHAIN, RESERVE)
+}
 
 
 class EntryRegistry:
--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -73,6 +75,36 @@
     stated_at_s: float
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class Permits:
+    """Permits of this process for requests to one rate-limited instance.
+
+    Attributes
+    ----------
+    valid_until_s : deque of float
+        Monotonic time at which each permit expires.
+    requested : int
+        Requests that wait for a permit.
+    lock : asyncio.Lock
+        Held while permits are requested.
+    """
+
+    valid_until_s: deque[float] = field(default_factory=deque)
+    requested: int = 0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def add(self, count: int, until_s: float) -> None:
+        """Add permits that expire at a monotonic time."""
+        self.valid_until_s.extend([until_s] * count)
+
+    def take(self, now_s: float) -> bool:
+        """Take a permit that has not expired, and return whether there was one."""
+        while self.valid_until_s:
+            if self.valid_until_s.popleft() > now_s:
+                return True
+        return False
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class UpstreamState:
     """State of one incarnation of an instance, as observed by this process.
@@ -93,6 +125,12 @@
     rate_limit : RateLimit or None
         Newest known statement of the instance about its limit; None if it never
         stated one.
+    paused_until_s : float
+        Monotonic time until which no permit is requested for the instance.
+    permit_expected_s : float
+        Monotonic time at which a permit is expected, not before the end of the pause.
+    share_per_s : float
+        Requests per second that this process can expect to send under the limit.
     """
 
     instance: UpstreamInstance
@@ -103,6 +141,10 @@
     suspected_until_s: float = 0.0
     mean_response_s: float = 0.0
     rate_limit: RateLimit | None = None
+    permits: Permits = field(default_factory=Permits)
+    paused_until_s: float = 0.0
+    permit_expected_s: float = 0.0
+    share_per_s: float = 0.0
     expired: bool = False
     removed: bool = False
     failure_share: float = 0.0
@@ -152,17 +194,23 @@
         """Return the instance's rate limit for all entries, or None for no limit."""
         return self.rate_limit.per_s if self.rate_limit is not None else None
 
-    def record_rate_limit(self, statement: RateLimit) -> None:
-        """Record what an instance stated about its limit, unless newer is known."""
+    def record_rate_limit(self, statement: RateLimit) -> bool:
+        """Record what an instance stated about its limit, unless newer is known.
+
+        Returns
+        -------
+        bool
+            Whether the limit changed.
+        """
         known = self.rate_limit
         if known is None and statement.per_s is None:
-            return
+            return False
         if known is not None and known.stated_at_s >= statement.stated_at_s:
-            return
+            return False
         previous_per_s = self.limit_per_s()
         self.rate_limit = statement
         if statement.per_s == previous_per_s:
-            return
+            return False
         log_event(
             "upstream_rate_limit",
             instance=self.instance.instance_id,
@@ -170,6 +218,22 @@
             limit_per_s=statement.per_s,
             previous_per_s=previous_per_s,
         )
+        if statement.per_s is None:
+            self.pause(0.0, permit_expected_s=0.0)
+        return True
+
+    def pause(self, until_s: float, *, permit_expected_s: float) -> None:
+        """Send no requests until a monotonic time, since the limit leaves no permit."""
+        self.paused_until_s = until_s
+        self.permit_expected_s = max(until_s, permit_expected_s)
+        self.on_change(self)
+
+    def expected_rate_per_s(self) -> float:
+        """Return how many requests per second this process may expect to complete."""
+        rate_per_s = self.instance.slots / (self.mean_response_s or DEFAULT_RESPONSE_S)
+        if self.limit_per_s() is None or self.share_per_s == 0.0:
+            return rate_per_s
+        return min(rate_per_s, self.share_per_s)
 
     def record_outcome(self, *, failed: bool) -> None:
         """Record whether a request failed."""
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -46,6 +46,7 @@
 from lentilroad.process.text_server import serve_text
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
+from lentilroad.request.permits import PermitClient
 
 SWEEP_INTERVAL_S = 0.25
 # After a start, requests wait until the process has read the configuration, the list of
@@ -67,12 +68,6 @@
     peers = PeerConnections(clock=clock)
     metadata = MetadataClient(address=settings.metadata_address, clock=clock)
     directory = UpstreamDirectory(clock=clock)
-    dispatcher = Dispatcher(
-        directory=directory,
-        clock=clock,
-        availability_zone=settings.availability_zone,
-        region_of=lambda zone: settings.zone_regions.get(zone, zone),
-    )
     own_address = f"{settings.ip}:{settings.peer_port}"
     relayed_calls = RelayingCaller(
         call=peers.call,
@@ -88,6 +83,21 @@
         ),
         losses_tolerated=settings.losses_tolerated,
     )
+    permits = PermitClient(
+        call=relayed_calls.call,
+        coordinators=lambda instance: storage.coordinators(
+            instance.instance_id, instance.availability_zone
+        ),
+        own_address=own_address,
+        clock=clock,
+    )
+    dispatcher = Dispatcher(
+        directory=directory,
+        clock=clock,
+        availability_zone=settings.availability_zone,
+        region_of=lambda zone: settings.zone_regions.get(zone, zone),
+        take_permit=permits.take,
+    )
     grant_manager = GrantManager(
         reserve=storage.reserve, confirm=storage.confirm, clock=clock
     )
@@ -113,6 +123,7 @@
     ingress = Ingress(
         wait_until_ready=wait_until_can_serve,
         on_unresponsive=suspicions.report,
+        on_rate_limit=permits.report,
         table=lambda: state.table,
         decode=decode_request,
         protocol=worker_protocol(),
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -23,6 +23,7 @@
     Member,
     MemberList,
     MemberMap,
+    coordinator_position,
     decode_members,
     encode_members,
 )
@@ -39,6 +40,7 @@
 from lentilroad.conversation.relay import EntryRegistry
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import ConfigurationError, LentilroadError
+from lentilroad.membership.rate_limits import ACQUIRE_PERMITS, RateLimitCoordinator
 from lentilroad.platform.configuration import RETIRE_PREFIX, RETIRE_STATUS_PREFIX
 from lentilroad.platform.following import (
     MEMBERS_KEY,
@@ -98,6 +100,12 @@
         ),
     )
     replica.recover()
+    rate_limits = RateLimitCoordinator(
+        clock=clock,
+        position=lambda instance_id, zone: coordinator_position(
+            current_map.member_list, disk_id, instance_id, zone
+        ),
+    )
     address = f"{settings.ip}:{settings.peer_port}"
     joining = StorageMembership(
         member=Member(
@@ -127,6 +135,7 @@
             WHICH_TURNS: replica.which_turns,
             PROBE: replica.probe,
             ANNOUNCE: EntryRegistry(clock=clock).announce,
+            ACQUIRE_PERMITS: rate_limits.acquire,
         },
         settings.ip,
         settings.peer_port,
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -52,6 +52,8 @@
         Source of time.
     on_unresponsive : callable
         Called with an instance that does not respond to requests.
+    on_rate_limit : callable
+        Called with an instance that stated another rate limit than before.
     """
 
     def __init__(
@@ -61,11 +63,13 @@
         dispatcher: Dispatcher,
         clock: Clock,
         on_unresponsive: Callable[[UpstreamState], None],
+        on_rate_limit: Callable[[UpstreamState], None],
     ) -> None:
         self._protocol = protocol
         self._dispatcher = dispatcher
         self._clock = clock
         self._on_unresponsive = on_unresponsive
+        self._on_rate_limit = on_rate_limit
 
     async def run(
         self,
@@ -260,9 +264,10 @@
         if flags.rate_limit_per_s is None and not (flags.sealed or flags.not_run):
             return
         now_s = self._clock.monotonic_s()
-        state.record_rate_limit(
+        if state.record_rate_limit(
             RateLimit(per_s=flags.rate_limit_per_s, stated_at_s=now_s)
-        )
+        ):
+            self._on_rate_limit(state)
 
     async def _response_head(
         self,
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -113,6 +113,8 @@
 CACHED_PARTS_MAX = 512
 SERVICE_RETRY_AFTER_MIN_S = 0.05
 SERVICE_RETRY_AFTER_MAX_S = 0.5
+# The rate limits of instances are known, so that longer waits can be predicted.
+RATE_LIMIT_RETRY_AFTER_MAX_S = 10.0
 # A failed request costs its caller the work done so far and a retry after 0.1 to
 # 0.4 s.
 FAILURE_COST_S = 0.8
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
@@ -13,7 +13,6 @@
 from lentilroad.clock import Clock
 from lentilroad.errors import OverloadedError, UnavailableError
 from lentilroad.membership.upstreams import (
-    DEFAULT_RESPONSE_S,
     UpstreamDirectory,
     UpstreamState,
 )
@@ -25,6 +24,7 @@
     OTHER_REGION_COST_S,
     OTHER_ZONE_COST_S,
     PREFILL_COST_S_PER_TOKEN,
+    RATE_LIMIT_RETRY_AFTER_MAX_S,
     SERVICE_RETRY_AFTER_MAX_S,
     SERVICE_RETRY_AFTER_MIN_S,
     TIE_BREAK_JITTER_S,
@@ -41,6 +41,8 @@
 MAX_WAITERS_CHECKED = 32
 # The rate at which slots become free is cached, since it changes little in this time.
 RATE_CACHE_S = 0.1
+# Timers may fire up to the resolution of the event loop's clock early.
+TIMER_MARGIN_S = 0.002
 
 # Rank of the request, then its order of arrival.
 _QueueKey = tuple[tuple[float, ...], int]
@@ -49,6 +51,7 @@
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Waiter:
     request: PlacementRequest
+    deadline_s: float
     slot: asyncio.Future[UpstreamState]
 
 
@@ -84,6 +87,9 @@
     random_share : callable
         Returns a random number from 0 to 1, used to choose among instances of
         similar cost.
+    take_permit : callable
+        Takes a permit for one request to a rate-limited instance; returns False and
+        pauses the instance if there is none.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         clock: Clock,
         availability_zone: str,
         region_of: Callable[[str], str],
+        take_permit: Callable[[UpstreamState], Awaitable[bool]],
         random_share: Callable[[], float] = random.random,
     ) -> None:
         self._directory = directory
@@ -104,11 +111,15 @@
         self._cached_parts = CachedPartIndex()
         self._arrival_numbers = itertools.count()
         self._random_share = random_share
+        self._take_permit = take_permit
         directory.subscribe(self._update_instance)
 
     async def acquire(self, request: PlacementRequest) -> UpstreamState:
         """Choose an instance, wait for a free slot if necessary, and acquire the slot.
 
+        A rate-limited instance also needs a permit. If there is none, other instances
+        are tried before the request waits.
+
         Raises
         ------
         UnavailableError
@@ -116,6 +127,26 @@
         OverloadedError
             The expected wait exceeds the time until the deadline.
         """
+        key = (request.rank, next(self._arrival_numbers))
+        deadline_s = self._clock.monotonic_s() + request.remaining_s
+        while True:
+            state = await self._wait_for_slot(request, key, deadline_s)
+            if state.limit_per_s() is None:
+                return state
+            try:
+                permitted = await self._take_permit(state)
+            except BaseException:
+                self.release(state)
+                raise
+            if permitted:
+                return state
+            self.release(state)
+            self._dispatch_at(state.paused_until_s)
+            request.remaining_s = deadline_s - self._clock.monotonic_s()
+
+    async def _wait_for_slot(
+        self, request: PlacementRequest, key: _QueueKey, deadline_s: float
+    ) -> UpstreamState:
         service = self._service(request.service)
         service.index.end_expired_exclusions()
         # Requests in the queue were already offered the slots that are free now.
@@ -124,9 +155,10 @@
             return self._acquire_slot(chosen, request)
         self._check_capacity(service, request)
         waiter = _Waiter(
-            request=request, slot=asyncio.get_running_loop().create_future()
+            request=request,
+            deadline_s=deadline_s,
+            slot=asyncio.get_running_loop().create_future(),
         )
-        key = (request.rank, next(self._arrival_numbers))
         service.waiting[key] = waiter
         try:
             return await waiter.slot
@@ -165,6 +197,24 @@
                 chosen = self._choose(service, waiter.request)
                 if chosen is not None:
                     self._grant(service, key, waiter, chosen)
+            self._refuse_late_waiters(service)
+
+    def _dispatch_at(self, time_s: float) -> None:
+        delay_s = time_s - self._clock.monotonic_s() + TIMER_MARGIN_S
+        asyncio.get_running_loop().call_later(delay_s, self.dispatch_waiting)
+
+    def _refuse_late_waiters(self, service: _Service) -> None:
+        """Refuse waiting requests that a new rate limit makes miss their deadline."""
+        if service.index.next_permit_s() is None:
+            return
+        now_s = self._clock.monotonic_s()
+        for position, (key, waiter) in enumerate(list(service.waiting.items())):
+            wait_s = self._expected_wait_s(service, waiter.request.service, position)
+            if wait_s is None or now_s + wait_s <= waiter.deadline_s:
+                continue
+            del service.waiting[key]
+            if not waiter.slot.done():
+                waiter.slot.set_exception(self._overloaded_error(waiter.request))
 
     def waiting_count(self, service: str) -> int:
         """Return the number of requests that wait for a service."""
@@ -176,10 +226,10 @@
         wait_s = self._expected_wait_s(found, service, len(found.waiting))
         if wait_s is None:
             wait_s = SERVICE_RETRY_AFTER_MAX_S
-        return int(
-            1000
-            * min(SERVICE_RETRY_AFTER_MAX_S, max(SERVICE_RETRY_AFTER_MIN_S, wait_s))
-        )
+        longest_s = SERVICE_RETRY_AFTER_MAX_S
+        if found.index.next_permit_s() is not None:
+            longest_s = RATE_LIMIT_RETRY_AFTER_MAX_S
+        return int(1000 * min(longest_s, max(SERVICE_RETRY_AFTER_MIN_S, wait_s)))
 
     def _service(self, name: str) -> _Service:
         found = self._services.get(name)
@@ -392,7 +442,7 @@
         usable = index.usable_count() - sum(
             1 for excluded in request.excluded if index.find(excluded) is not None
         )
-        if usable <= 0:
+        if usable <= 0 and index.next_permit_s(request.excluded) is None:
             raise UnavailableError(
                 f"no instance of {request.service} is available; "
                 "send the request again",
@@ -401,11 +451,14 @@
         position = service.waiting.bisect_right((request.rank, float("inf")))
         wait_s = self._expected_wait_s(service, request.service, position)
         if wait_s is not None and wait_s > request.remaining_s:
-            raise OverloadedError(
-                f"the expected wait for {request.service} exceeds the request's "
-                "deadline; send the request again",
-                retry_after_ms=self.retry_after_ms(request.service),
-            )
+            raise self._overloaded_error(request)
+
+    def _overloaded_error(self, request: PlacementRequest) -> OverloadedError:
+        return OverloadedError(
+            f"the expected wait for {request.service} exceeds the request's "
+            "deadline; send the request again",
+            retry_after_ms=self.retry_after_ms(request.service),
+        )
 
     def _expected_wait_s(
         self, service: _Service, name: str, position: int
@@ -414,13 +467,17 @@
         if service.rate_until_s <= now_s:
             service.rate_until_s = now_s + RATE_CACHE_S
             service.rate_per_s = sum(
-                state.instance.slots / (state.mean_response_s or DEFAULT_RESPONSE_S)
+                state.expected_rate_per_s()
                 for state in self._directory.instances(name)
                 if state.usable(now_s)
             )
         if service.rate_per_s == 0.0:
             return None
-        return (position + 1) / service.rate_per_s
+        permit_s = service.index.next_permit_s()
+        if service.index.usable_count() > 0 or permit_s is None:
+            return (position + 1) / service.rate_per_s
+        # All instances are paused by their rate limits.
+        return max(permit_s - now_s, position / service.rate_per_s)
 
 
 def _prefill_cost_s(request: PlacementRequest) -> float:
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -78,6 +78,8 @@
         ``turns`` states whether conversations have to be available.
     on_unresponsive : callable
         Called with an instance that does not respond to requests.
+    on_rate_limit : callable
+        Called with an instance that stated another rate limit than before.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         stopping: Callable[[], bool],
         wait_until_ready: WaitUntilReady,
         on_unresponsive: Callable[[UpstreamState], None],
+        on_rate_limit: Callable[[UpstreamState], None],
     ) -> None:
         self._table = table
         self._decode = decode
@@ -103,6 +106,7 @@
             dispatcher=dispatcher,
             clock=clock,
             on_unresponsive=on_unresponsive,
+            on_rate_limit=on_rate_limit,
         )
         self._turns = turns
         self._clock = clock
--- a/lentilroad/request/instance_index.py
+++ b/lentilroad/request/instance_index.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 
 from sortedcontainers import SortedList
@@ -55,6 +55,7 @@
     __slots__ = (
         "_clock",
         "_exclusions",
+        "_pauses",
         "_positions",
         "_random_share",
         "_states",
@@ -70,7 +71,10 @@
         # Random per process, so that entries with the same information spread their
         # requests over instances of equal cost.
         self._tie_breakers: dict[str, float] = {}
+        # Times at which exclusions and pauses end.
         self._exclusions: list[tuple[float, str]] = []
+        # Times at which permits are expected, by the id of each paused instance.
+        self._pauses: dict[str, float] = {}
         self.zones: dict[str, _Zone] = {}
 
     def update(self, state: UpstreamState) -> None:
@@ -79,14 +83,18 @@
         if state.removed and self._states.get(instance_id) is not state:
             return
         self._remove_position(instance_id)
+        self._pauses.pop(instance_id, None)
         zone = self._zone(state)
         if state.removed or state.instance.draining:
             self._remove(instance_id, zone)
             return
         if self._states.get(instance_id) is not state:
             self._add(state, zone)
-        if state.excluded_until_s > self._clock.monotonic_s():
-            heapq.heappush(self._exclusions, (state.excluded_until_s, instance_id))
+        blocked_until_s = max(state.excluded_until_s, state.paused_until_s)
+        if blocked_until_s > self._clock.monotonic_s():
+            heapq.heappush(self._exclusions, (blocked_until_s, instance_id))
+            if state.paused_until_s == blocked_until_s:
+                self._pauses[instance_id] = state.permit_expected_s
             return
         cost_s = base_cost_s(state)
         positions = zone.free
@@ -98,7 +106,7 @@
         self._positions[instance_id] = (positions, position)
 
     def end_expired_exclusions(self) -> None:
-        """Re-index the instances whose exclusion has expired."""
+        """Re-index the instances whose exclusion or pause has ended."""
         now_s = self._clock.monotonic_s()
         while self._exclusions and self._exclusions[0][0] <= now_s:
             _, instance_id = heapq.heappop(self._exclusions)
@@ -116,6 +124,20 @@
         """Return how many instances are usable now."""
         return len(self._positions)
 
+    def next_permit_s(self, excluded: Collection[str] = ()) -> float | None:
+        """Return when the first permit for a paused instance is expected.
+
+        None if no instance is paused by its rate limit.
+        """
+        return min(
+            (
+                expected_s
+                for instance_id, expected_s in self._pauses.items()
+                if instance_id not in excluded
+            ),
+            default=None,
+        )
+
     def has_free_slot(self) -> bool:
         """Return whether any usable instance has a free slot."""
         return any(zone.free for zone in self.zones.values())
--- /dev/null
+++ b/lentilroad/request/permits.py
@@ -0,0 +1,167 @@
+"""Permits of an entry for requests to instances that stated a rate limit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from lentilroad.clock import Clock
+from lentilroad.errors import LentilroadError
+from lentilroad.membership.rate_limits import (
+    ACQUIRE_PERMITS,
+    COORDINATOR_SHARES,
+    MIN_PAUSE_S,
+    PermitReply,
+    PermitRequest,
+)
+from lentilroad.membership.upstreams import RateLimit, UpstreamInstance, UpstreamState
+from lentilroad.process.events import log_event
+
+# A permit is used at once; this bounds the wait of requests that share one call.
+PERMIT_VALID_S = 0.25
+CALL_TIMEOUT_S = 0.25
+# A coordinator that did not answer is not asked again for this long.
+COORDINATOR_RETRY_S = 1.0
+# An instance whose coordinators are all unreachable gets no requests for this long.
+UNREACHABLE_PAUSE_S = 0.5
+
+
+class PermitClient:
+    """Obtains permits from the coordinators of limited instances.
+
+    Parameters
+    ----------
+    call : callable
+        Calls to peers; see `lentilroad.connection.peers.PeerConnections.call`.
+    coordinators : callable
+        Returns the addresses of an instance's coordinators, in the order in which all
+        entries ask them.
+    own_address : str
+        Address of this entry.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Callable[..., Awaitable[Any]],
+        coordinators: Callable[[UpstreamInstance], list[str]],
+        own_address: str,
+        clock: Clock,
+    ) -> None:
+        self._call = call
+        self._coordinators = coordinators
+        self._own_address = own_address
+        self._clock = clock
+        # Monotonic times until which coordinators are not asked, by address.
+        self._failed_until_s: dict[str, float] = {}
+        self._reports: set[asyncio.Task[None]] = set()
+
+    async def take(self, state: UpstreamState) -> bool:
+        """Take a permit for one request; False if the instance is paused instead."""
+        permits = state.permits
+        permits.requested += 1
+        try:
+            # Requests that arrive during a call share the next one.
+            async with permits.lock:
+                if self._take_available(state):
+                    return True
+                if state.paused_until_s <= self._clock.monotonic_s():
+                    await self._acquire(state, wanted=permits.requested)
+                return self._take_available(state)
+        finally:
+            permits.requested -= 1
+
+    def report(self, state: UpstreamState) -> None:
+        """Report a changed limit to the coordinator in the background."""
+        task = asyncio.ensure_future(self._acquire(state, wanted=0))
+        self._reports.add(task)
+        task.add_done_callback(self._reports.discard)
+
+    def _take_available(self, state: UpstreamState) -> bool:
+        if state.limit_per_s() is None:
+            return True
+        return state.permits.take(self._clock.monotonic_s())
+
+    async def _acquire(self, state: UpstreamState, *, wanted: int) -> None:
+        coordinators = self._coordinators(state.instance)[: len(COORDINATOR_SHARES)]
+        for address in coordinators:
+            now_s = self._clock.monotonic_s()
+            if self._failed_until_s.get(address, 0.0) > now_s:
+                continue
+            try:
+                reply = await self._call(
+                    address,
+                    ACQUIRE_PERMITS,
+                    self._request(state, wanted),
+                    timeout_s=CALL_TIMEOUT_S,
+                )
+            except (LentilroadError, TimeoutError) as error:
+                self._failed_until_s[address] = (
+                    self._clock.monotonic_s() + COORDINATOR_RETRY_S
+                )
+                log_event(
+                    "rate_limit_coordinator_lost",
+                    instance=state.instance.instance_id,
+                    coordinator=address,
+                    error=str(error) or type(error).__name__,
+                )
+                continue
+            self._apply(state, wanted, reply)
+            return
+        if wanted:
+            self._pause(
+                state,
+                pause_s=UNREACHABLE_PAUSE_S,
+                turn_s=UNREACHABLE_PAUSE_S,
+                reason="no coordinator is reachable",
+            )
+
+    def _request(self, state: UpstreamState, wanted: int) -> PermitRequest:
+        instance = state.instance
+        known = state.rate_limit
+        now_s = self._clock.monotonic_s()
+        return PermitRequest(
+            instance_id=instance.instance_id,
+            started_ms=instance.started_ms,
+            availability_zone=instance.availability_zone,
+            entry=self._own_address,
+            limit_per_s=state.limit_per_s(),
+            age_s=now_s - known.stated_at_s if known is not None else now_s,
+            wanted=wanted,
+        )
+
+    def _apply(self, state: UpstreamState, wanted: int, reply: PermitReply) -> None:
+        now_s = self._clock.monotonic_s()
+        state.record_rate_limit(
+            RateLimit(per_s=reply.limit_per_s, stated_at_s=now_s - reply.age_s)
+        )
+        if wanted == 0 or state.limit_per_s() is None:
+            return
+        state.share_per_s = reply.share_per_s
+        if reply.granted:
+            state.permits.add(reply.granted, now_s + PERMIT_VALID_S)
+            return
+        self._pause(
+            state,
+            pause_s=max(MIN_PAUSE_S, reply.pause_s),
+            turn_s=reply.turn_s,
+            reason="limit reached",
+        )
+
+    def _pause(
+        self, state: UpstreamState, *, pause_s: float, turn_s: float, reason: str
+    ) -> None:
+        log_event(
+            "upstream_paused",
+            instance=state.instance.instance_id,
+            limit_per_s=state.limit_per_s(),
+            share_per_s=state.share_per_s,
+            for_ms=int(pause_s * 1000),
+            turn_in_ms=int(turn_s * 1000),
+            reason=reason,
+        )
+        now_s = self._clock.monotonic_s()
+        state.pause(now_s + pause_s, permit_expected_s=now_s + turn_s)
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -18,6 +18,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.version.routes import ClientLimits, Route, RouteTable, Service
+from tests.fakes.permits import CoordinatorGroup
 
 ATTEMPT_ID = "Lentilroad-Attempt-Id"
 
@@ -63,6 +64,9 @@
     directory = UpstreamDirectory(clock=clock)
     for upstream in instances:
         directory.update(upstream)
+    permits = fields.get("permits")
+    if permits is None:
+        permits = CoordinatorGroup(clock=clock).client("entry")
     turns = fields.get("turns") or TurnManager(storage=None, grant_manager=None)
     ingress = Ingress(
         table=lambda: state.table,
@@ -73,6 +77,7 @@
             clock=clock,
             availability_zone="z",
             region_of=lambda zone: zone,
+            take_permit=permits.take,
             # Makes the choice among equal instances deterministic.
             random_share=lambda: 0.0,
         ),
@@ -82,6 +87,7 @@
         stopping=lambda: state.stopping,
         wait_until_ready=fields.get("wait_until_ready", ready_at_once),
         on_unresponsive=fields.get("on_unresponsive", lambda state: None),
+        on_rate_limit=permits.report,
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
--- a/tests/membership/test_suspicions.py
+++ b/tests/membership/test_suspicions.py
@@ -11,6 +11,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.work import PlacementRequest
 from tests.fakes.clock import ManualClock
+from tests.fakes.permits import permit_always
 
 
 def _instance(number: int, **fields: Any) -> UpstreamInstance:
@@ -63,6 +64,7 @@
             clock=self.clock,
             availability_zone="a",
             region_of=lambda zone: zone,
+            take_permit=permit_always,
             random_share=lambda: 0.0,
         )
         state = await dispatcher.acquire(
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -14,6 +14,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.work import PlacementRequest
 from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.permits import permit_always
 
 
 class _DispatcherHarness:
@@ -40,6 +41,7 @@
             clock=self.clock,
             availability_zone="a",
             region_of=lambda zone: zone,
+            take_permit=permit_always,
             random_share=random_share,
         )
 
--- a/tests/request/test_large_fleet.py
+++ b/tests/request/test_large_fleet.py
@@ -19,6 +19,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.work import PlacementRequest
 from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.permits import permit_always
 
 ZONES = ("a1", "a2", "b1", "b2", "c1", "c2")
 SHARED_TOKENS = 512
@@ -33,6 +34,7 @@
             clock=self.clock,
             availability_zone="a1",
             region_of=lambda zone: zone[0],
+            take_permit=permit_always,
             random_share=lambda: 0.0,
         )
         for number in range(instances):
--- a/tests/request/test_rate_limits.py
+++ b/tests/request/test_rate_limits.py
@@ -78,3 +78,42 @@
         statuses = await asyncio.gather(*requests)
     assert worker.most_in_a_window() <= ALLOWED_REQUESTS
     assert statuses.count(200) >= LIMIT_PER_S * WINDOW_S
+
+
+async def test_statement_of_another_instance_at_the_address_is_ignored() -> None:
+    """Guard against a limit taken from the worker that took over an address."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        request_id = request.headers[ATTEMPT_ID.lower()]
+        writer.write(
+            raw_response(
+                b"", "421 Wrong", **{ATTEMPT_ID: request_id, "Server-Limit": "0.5"}
+            )
+        )
+
+    async with (
+        raw_server(answer) as server,
+        serving_gateway(
+            [instance(0, server.address)], route_table([_route()])
+        ) as gateway,
+    ):
+        await _request(gateway, 0)
+        state = gateway.directory.find("i-0")
+        assert state is not None
+        assert state.limit_per_s() is None
+
+
+async def test_limit_ends_with_the_first_response_that_does_not_state_it() -> None:
+    """Guard against a limit that stays in force after the instance withdrew it."""
+    worker = _LimitedWorker(limit_per_s=2.0)
+    async with (
+        raw_server(worker.answer) as server,
+        serving_gateway(
+            [instance(0, server.address)], route_table([_route()])
+        ) as gateway,
+    ):
+        assert await _request(gateway, 0) == 200
+        worker.limit_per_s = None
+        assert await _request(gateway, 1) == 200
+        statuses = await asyncio.gather(*(_request(gateway, n) for n in range(2, 22)))
+        assert statuses.count(200) == 20
