Refuse queued streams before their callers abandon them

Callers of streams leave after 2 s without an event, but a request stayed in the queue of its entry until its deadline of 3 s. With four of five instances limited, 70 callers left in vain after 2 s without any send and without being told when to return.

A queued request now waits until its caller would leave, not until the deadline of the route, and is refused with the time to return. The expected wait is compared with the same time on arrival.

--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -89,7 +89,7 @@
             allow sending it again.
         """
         while True:
-            placement.remaining_s = exchange.deadline_at_s - self._clock.monotonic_s()
+            placement.remaining_s = exchange.wait_until_s() - self._clock.monotonic_s()
             state = await self._dispatcher.acquire(placement)
             exchange.acquired_instance = state
             can_fail_over = (
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -141,6 +141,9 @@
 # Callers abandon a stream themselves after its longest pause. The entry ends the stream
 # this much later, for callers that do not.
 ABANDON_MARGIN_S = 0.5
+# Time that an instance needs for the first event of a stream, which the caller must
+# receive before it leaves.
+FIRST_EVENT_MARGIN_S = 0.1
 # An instance whose connections fail receives no requests for this long. The time
 # doubles with each consecutive failure, up to three heartbeats of an instance.
 EXCLUDE_AFTER_FAILURE_S = 0.3
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -160,6 +160,15 @@
             slot=asyncio.get_running_loop().create_future(),
         )
         service.waiting[key] = waiter
+        try:
+            async with asyncio.timeout(deadline_s - self._clock.monotonic_s()):
+                return await self._granted_slot(service, key, waiter)
+        except TimeoutError as error:
+            raise self._overloaded_error(request) from error
+
+    async def _granted_slot(
+        self, service: _Service, key: _QueueKey, waiter: _Waiter
+    ) -> UpstreamState:
         try:
             return await waiter.slot
         except asyncio.CancelledError:
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -9,9 +9,9 @@
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.errors import LentilroadError, UpstreamError
 from lentilroad.membership.upstreams import UpstreamState
-from lentilroad.request.const import ANSWER_MAX_BYTES
+from lentilroad.request.const import ANSWER_MAX_BYTES, FIRST_EVENT_MARGIN_S
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
-from lentilroad.version.routes import Route
+from lentilroad.version.routes import Route, RouteKind
 
 
 class NotExecutedError(LentilroadError):
@@ -65,6 +65,16 @@
     response_started: bool = False
     after_event: str = ""
 
+    def wait_until_s(self) -> float:
+        """Return until which monotonic time a send is of use to the caller.
+
+        Callers of streams leave before their deadline if no event arrives.
+        """
+        if self.route.kind is not RouteKind.STREAMING or self.response_started:
+            return self.deadline_at_s
+        abandoned_at_s = self.began_s + self.route.abandon_after_gap_s()
+        return min(self.deadline_at_s, abandoned_at_s - FIRST_EVENT_MARGIN_S)
+
     def remaining_sends(self) -> int:
         """Return how many more times the request may be sent."""
         if not self.route.repeatable():
--- a/tests/request/test_dispatch.py
+++ b/tests/request/test_dispatch.py
@@ -278,3 +278,21 @@
         assert (await waiting).instance.instance_id == "i-new"
 
     run_virtual(run())
+
+
+def test_request_that_got_no_slot_in_time_is_refused() -> None:
+    """Guard against requests that stay queued after their callers have left."""
+
+    async def run() -> None:
+        harness = _DispatcherHarness(["a"], slots=1)
+        held = await harness.acquire()
+        before_s = harness.clock.monotonic_s()
+        with pytest.raises(OverloadedError) as caught:
+            await harness.acquire(remaining_s=0.5)
+        assert harness.clock.monotonic_s() - before_s == pytest.approx(0.5)
+        assert caught.value.retry_after_ms is not None
+        assert harness.dispatcher.waiting_count("svc") == 0
+        harness.dispatcher.release(held)
+        assert held.in_flight == 0
+
+    run_virtual(run())
--- a/tests/request/test_rate_limits.py
+++ b/tests/request/test_rate_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from lentilroad.version.routes import Route, RouteKind
 from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
@@ -117,3 +118,25 @@
         assert await _request(gateway, 1) == 200
         statuses = await asyncio.gather(*(_request(gateway, n) for n in range(2, 22)))
         assert statuses.count(200) == 20
+
+
+async def test_queued_stream_is_refused_before_its_caller_abandons_it() -> None:
+    """Guard against streams that are still queued when their callers leave."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(2.5)
+        return True
+
+    route = replace(_route(), kind=RouteKind.STREAMING, timeout_s=4.0)
+    async with (
+        raw_server(answer) as server,
+        serving_gateway(
+            [instance(0, server.address, slots=1)], route_table([route])
+        ) as gateway,
+    ):
+        running = asyncio.create_task(_request(gateway, 0))
+        await asyncio.sleep(0.1)
+        sent_s = gateway.clock.monotonic_s()
+        assert await _request(gateway, 1) == 503
+        assert gateway.clock.monotonic_s() - sent_s < route.abandon_after_gap_s()
+        await asyncio.gather(running, return_exceptions=True)
