Log and count the instances that state that they are leaving

No line showed whether an entry had received the statement of a leaving instance in a response. It is decoded and kept with the instance, logged once, part of each send, and counted by a gauge. The choice of an instance is unchanged.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -131,6 +131,8 @@
         Monotonic time at which a permit is expected, not before the end of the pause.
     share_per_s : float
         Requests per second that this process can expect to send under the limit.
+    leaving_since_s : float or None
+        Monotonic time at which the instance first stated that it is leaving.
     """
 
     instance: UpstreamInstance
@@ -145,6 +147,7 @@
     paused_until_s: float = 0.0
     permit_expected_s: float = 0.0
     share_per_s: float = 0.0
+    leaving_since_s: float | None = None
     expired: bool = False
     removed: bool = False
     failure_share: float = 0.0
@@ -222,6 +225,18 @@
             self.pause(0.0, permit_expected_s=0.0)
         return True
 
+    def record_leaving(self, now_s: float) -> None:
+        """Record that the instance stated that it is leaving."""
+        if self.leaving_since_s is not None:
+            return
+        self.leaving_since_s = now_s
+        log_event(
+            "upstream_leaving",
+            instance=self.instance.instance_id,
+            service=self.instance.service,
+            listed_as_draining=self.instance.draining,
+        )
+
     def pause(self, until_s: float, *, permit_expected_s: float) -> None:
         """Send no requests until a monotonic time, since the limit leaves no permit."""
         self.paused_until_s = until_s
@@ -393,6 +408,10 @@
         """Return how many instances have a rate limit in force."""
         return sum(1 for s in self._by_id.values() if s.limit_per_s() is not None)
 
+    def leaving_count(self) -> int:
+        """Return how many instances stated that they are leaving."""
+        return sum(1 for s in self._by_id.values() if s.leaving_since_s is not None)
+
     def find(self, instance_id: str) -> UpstreamState | None:
         """Return an instance by its id, or None if it is unknown."""
         return self._by_id.get(instance_id)
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -136,6 +136,7 @@
     telemetry.add_gauge("open_requests", lambda: ingress.open_requests)
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
+    telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
 
     def readiness() -> tuple[int, str]:
         if can_serve(turns=True) and not state.stopping:
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -17,6 +17,8 @@
 # Requests per second that an overloaded worker accepts from all callers together, in
 # each of its responses while the limit applies.
 RATE_LIMIT = b"server-limit"
+# In each response of a worker that leaves.
+LEAVING = b"server-leaving"
 PROGRAM_ID = b"lentilroad-program-id"
 SESSION_ID = b"lentilroad-session-id"
 FINISH_TIME = b"lentilroad-finish-milliseconds"
@@ -171,6 +173,7 @@
         wrong_instance=wrong_instance,
         identified=head.value(REQUEST_ID) is not None,
         rate_limit_per_s=_decode_number(head.value(RATE_LIMIT)),
+        leaving=(head.value(LEAVING) or b"").strip() == b"1",
     )
 
 
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -186,6 +186,7 @@
             after_event=exchange.after_event,
             version=exchange.version,
             limit_per_s=state.limit_per_s(),
+            leaving=state.leaving_since_s is not None,
         )
         async with state.pool.connection() as connection:
             exchange.sends += 1
@@ -261,9 +262,11 @@
         # duplicate of an earlier response.
         if flags.wrong_instance or not flags.identified:
             return
+        now_s = self._clock.monotonic_s()
+        if flags.leaving:
+            state.record_leaving(now_s)
         if flags.rate_limit_per_s is None and not (flags.sealed or flags.not_run):
             return
-        now_s = self._clock.monotonic_s()
         if state.record_rate_limit(
             RateLimit(per_s=flags.rate_limit_per_s, stated_at_s=now_s)
         ):
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -71,6 +71,8 @@
     rate_limit_per_s : float or None
         Requests per second that the instance accepts from all entries together; None
         if it states no limit.
+    leaving : bool
+        The instance states that it is leaving.
     """
 
     not_run: bool
@@ -78,6 +80,7 @@
     wrong_instance: bool
     identified: bool
     rate_limit_per_s: float | None = None
+    leaving: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
