--- /dev/null
+++ b/tests/request/test_leaving_instances.py
@@ -0,0 +1,64 @@
+"""Instances that state in their responses that they are leaving."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lentilroad.version.routes import Route, RouteKind
+from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
+from tests.fakes.raw_server import RawRequest, raw_response, raw_server
+
+HOST = {"Host": "h.example"}
+
+
+async def _answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    headers = {
+        ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
+        "Lentilroad-Response-Seal": "s",
+    }
+    writer.write(raw_response(b"ok", **headers))
+
+
+async def _answer_leaving(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    headers = {
+        ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
+        "Lentilroad-Response-Seal": "s",
+        "Server-Leaving": "1",
+    }
+    writer.write(raw_response(b"ok", **headers))
+
+
+def _route() -> Route:
+    return Route(
+        name="r",
+        host="h.example",
+        prefix="/r/",
+        kind=RouteKind.NON_IDEMPOTENT,
+        timeout_s=1.0,
+        target_latency_s=0.2,
+        services=(("svc", 1),),
+    )
+
+
+async def _request(gateway, number: int) -> int:
+    headers = {**HOST, ATTEMPT_ID: f"a{number}"}
+    async with gateway.session.post("/r/x", headers=headers) as response:
+        await response.read()
+        return response.status
+
+
+async def test_instance_that_stated_that_it_leaves_gets_no_further_requests() -> None:
+    """Guard against requests to a leaving instance that the list still has as ready."""
+    async with (
+        raw_server(_answer_leaving) as leaving,
+        raw_server(_answer) as staying,
+        serving_gateway(
+            [instance(0, leaving.address), instance(1, staying.address)],
+            route_table([_route()]),
+        ) as gateway,
+    ):
+        while not leaving.requests:
+            assert await _request(gateway, len(staying.requests)) == 200
+        for number in range(100, 140):
+            assert await _request(gateway, number) == 200
+    assert len(leaving.requests) == 1
