Send no further work to an instance that states that it leaves

Callers' requests still went to an instance that had stated in its responses that it was leaving; such an instance may exit at any time.

Cause: as with rate limits, a statement of an instance about itself ended at the entry that received it.

The first statement now ends new work at once, as a drain in the list does. If no other instance can take a request, the leaving one gets it until 0.8 of the drain time is over; after that the request is refused at once. The statement holds for one incarnation: it survives an expired key that comes back, and ends with a restart. Statements in answers of status 421 or without the request's id are ignored.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -23,6 +23,12 @@
 # Weight of the newest sample in the running mean of an instance's failures; the mean
 # covers about the last 15 requests.
 FAILURE_WEIGHT = 0.07
+# An instance that leaves is remembered for this long after its key was removed, since
+# the key may come back while the instance still serves.
+LEAVING_MEMORY_S = 600.0
+# Share of the drain time in which a leaving instance gets requests that no other
+# instance can accept.
+LEAVING_LAST_RESORT_SHARE = 0.8
 # Response time assumed until an instance has answered.
 DEFAULT_RESPONSE_S = 0.15
 # An instance that answers nothing for this long, and for this multiple of its mean
@@ -133,6 +139,8 @@
         Requests per second that this process can expect to send under the limit.
     leaving_since_s : float or None
         Monotonic time at which the instance first stated that it is leaving.
+    drain_s : float
+        Time for which an instance that is leaving still accepts requests.
     """
 
     instance: UpstreamInstance
@@ -148,6 +156,7 @@
     permit_expected_s: float = 0.0
     share_per_s: float = 0.0
     leaving_since_s: float | None = None
+    drain_s: float = 0.0
     expired: bool = False
     removed: bool = False
     failure_share: float = 0.0
@@ -163,10 +172,26 @@
         """Return whether new work may go to the instance."""
         return (
             not self.removed
-            and not self.instance.draining
+            and not self.draining(now_s)
             and self.excluded_until_s <= now_s
         )
 
+    def leaves(self) -> bool:
+        """Return whether the instance leaves, as stated by itself or by the list."""
+        return self.instance.draining or self.leaving_since_s is not None
+
+    def draining(self, now_s: float) -> bool:
+        """Return whether the instance leaves and must not get any new work."""
+        return self.instance.draining or (
+            self.leaving_since_s is not None and now_s >= self.last_resort_until_s()
+        )
+
+    def last_resort_until_s(self) -> float:
+        """Return until when a leaving instance may get work that others cannot take."""
+        if self.leaving_since_s is None:
+            return 0.0
+        return self.leaving_since_s + LEAVING_LAST_RESORT_SHARE * self.drain_s
+
     def record_sent(self, request_id: str, now_s: float) -> None:
         """Record that a request was sent and awaits its answer."""
         self.unanswered[request_id] = now_s
@@ -236,6 +261,7 @@
             service=self.instance.service,
             listed_as_draining=self.instance.draining,
         )
+        self.on_change(self)
 
     def pause(self, until_s: float, *, permit_expected_s: float) -> None:
         """Send no requests until a monotonic time, since the limit leaves no permit."""
@@ -281,6 +307,8 @@
     ----------
     clock : Clock
         Source of time.
+    drain_s : float
+        Time for which an instance that is leaving still accepts requests.
     """
 
     __slots__ = (
@@ -288,12 +316,17 @@
         "_by_service",
         "_on_change",
         "_clock",
+        "_drain_s",
         "_expiry_grace_until_s",
+        "_leaving_since_s",
         "loaded",
     )
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, drain_s: float = 0.0) -> None:
         self._clock = clock
+        self._drain_s = drain_s
+        # Statements of removed instances that they are leaving, by incarnation.
+        self._leaving_since_s: dict[tuple[str, str, int], float] = {}
         self._by_id: dict[str, UpstreamState] = {}
         self._by_service: dict[str, dict[str, UpstreamState]] = {}
         self._on_change: Callable[[UpstreamState], None] = lambda state: None
@@ -319,13 +352,8 @@
         instances are not counted, since they leave as planned. If a large share of the
         other instances is removed at once, their keys expired during a store outage.
         """
-        serving = [s for s in self._by_id.values() if not s.instance.draining]
-        removed = sum(
-            1
-            for instance_id in set(instance_ids)
-            if (state := self._by_id.get(instance_id)) is not None
-            and not state.instance.draining
-        )
+        serving = {i for i, s in self._by_id.items() if not s.leaves()}
+        removed = len(serving.intersection(instance_ids))
         if removed > max(1, MASS_EXPIRY_SHARE * len(serving)):
             log_event("upstreams_lapsed", removed=removed, known=len(serving))
             self.start_expiry_grace()
@@ -364,6 +392,8 @@
                 instance=instance,
                 pool=HttpPool(address=instance.address, clock=self._clock),
                 on_change=self._on_change,
+                drain_s=self._drain_s,
+                leaving_since_s=self._leaving_since_s.get(instance.incarnation()),
             )
             self._by_id[instance.instance_id] = state
             self._by_service.setdefault(instance.service, {})[instance.instance_id] = (
@@ -416,9 +446,18 @@
         """Return an instance by its id, or None if it is unknown."""
         return self._by_id.get(instance_id)
 
+    def _remember_leaving(self, state: UpstreamState) -> None:
+        now_s = self._clock.monotonic_s()
+        for incarnation, since_s in list(self._leaving_since_s.items()):
+            if now_s - since_s > LEAVING_MEMORY_S:
+                del self._leaving_since_s[incarnation]
+        if state.leaving_since_s is not None:
+            self._leaving_since_s[state.instance.incarnation()] = state.leaving_since_s
+
     def _remove(self, state: UpstreamState) -> None:
         state.removed = True
         state.pool.close()
+        self._remember_leaving(state)
         instance = state.instance
         if self._by_id.get(instance.instance_id) is state:
             del self._by_id[instance.instance_id]
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -67,7 +67,7 @@
     state = GatewayState()
     peers = PeerConnections(clock=clock)
     metadata = MetadataClient(address=settings.metadata_address, clock=clock)
-    directory = UpstreamDirectory(clock=clock)
+    directory = UpstreamDirectory(clock=clock, drain_s=settings.bounds.drain_s)
     own_address = f"{settings.ip}:{settings.peer_port}"
     relayed_calls = RelayingCaller(
         call=peers.call,
--- a/lentilroad/request/const.py
+++ b/lentilroad/request/const.py
@@ -118,6 +118,9 @@
 # A failed request costs its caller the work done so far and a retry after 0.1 to
 # 0.4 s.
 FAILURE_COST_S = 0.8
+# More than any other cost, so that a leaving instance gets a request only if no other
+# instance can accept it.
+LEAVING_COST_S = 100.0
 # Time reserved for writing a response before the caller's own deadline.
 DEADLINE_MARGIN_S = 0.02
 # Time and size up to which the body of a refused request is read and discarded, so
--- a/lentilroad/request/instance_index.py
+++ b/lentilroad/request/instance_index.py
@@ -11,7 +11,7 @@
 from lentilroad.clock import Clock
 from lentilroad.membership.rendezvous import score
 from lentilroad.membership.upstreams import DEFAULT_RESPONSE_S, UpstreamState
-from lentilroad.request.const import FAILURE_COST_S
+from lentilroad.request.const import FAILURE_COST_S, LEAVING_COST_S
 
 # Points of each instance on the hash ring; more points spread the affinity keys more
 # evenly.
@@ -71,7 +71,7 @@
         # Random per process, so that entries with the same information spread their
         # requests over instances of equal cost.
         self._tie_breakers: dict[str, float] = {}
-        # Times at which exclusions and pauses end.
+        # Times at which exclusions, pauses and drain times end.
         self._exclusions: list[tuple[float, str]] = []
         # Times at which permits are expected, by the id of each paused instance.
         self._pauses: dict[str, float] = {}
@@ -85,13 +85,16 @@
         self._remove_position(instance_id)
         self._pauses.pop(instance_id, None)
         zone = self._zone(state)
-        if state.removed or state.instance.draining:
+        now_s = self._clock.monotonic_s()
+        if state.removed or state.draining(now_s):
             self._remove(instance_id, zone)
             return
         if self._states.get(instance_id) is not state:
             self._add(state, zone)
         blocked_until_s = max(state.excluded_until_s, state.paused_until_s)
-        if blocked_until_s > self._clock.monotonic_s():
+        if state.leaving_since_s is not None:
+            heapq.heappush(self._exclusions, (state.last_resort_until_s(), instance_id))
+        if blocked_until_s > now_s:
             heapq.heappush(self._exclusions, (blocked_until_s, instance_id))
             if state.paused_until_s == blocked_until_s:
                 self._pauses[instance_id] = state.permit_expected_s
@@ -106,12 +109,14 @@
         self._positions[instance_id] = (positions, position)
 
     def end_expired_exclusions(self) -> None:
-        """Re-index the instances whose exclusion or pause has ended."""
+        """Re-index instances after the end of an exclusion, pause or drain time."""
         now_s = self._clock.monotonic_s()
         while self._exclusions and self._exclusions[0][0] <= now_s:
             _, instance_id = heapq.heappop(self._exclusions)
             state = self._states.get(instance_id)
-            if state is not None and instance_id not in self._positions:
+            if state is None:
+                continue
+            if instance_id not in self._positions or state.draining(now_s):
                 self.update(state)
 
     def find(self, instance_id: str) -> UpstreamState | None:
@@ -171,7 +176,7 @@
             min(len(ring), MAX_SKIPPED_PER_ZONE * RING_POINTS_PER_INSTANCE)
         ):
             state = self.find(ring[(start + step) % len(ring)][1])
-            if state is not None:
+            if state is not None and not state.leaves():
                 return state
         return None
 
@@ -229,7 +234,8 @@
     # that the cost grows with the square of the load.
     load = state.in_flight / max(1, state.instance.slots)
     response_s = state.mean_response_s or DEFAULT_RESPONSE_S
-    return response_s * load * load + FAILURE_COST_S * state.failure_share
+    cost_s = response_s * load * load + FAILURE_COST_S * state.failure_share
+    return cost_s + (LEAVING_COST_S if state.leaving_since_s is not None else 0.0)
 
 
 def slot_wait_s(state: UpstreamState) -> float:
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -61,7 +61,7 @@
     state = GatewayState()
     if table is not None:
         state.apply_table(table)
-    directory = UpstreamDirectory(clock=clock)
+    directory = UpstreamDirectory(clock=clock, drain_s=fields.get("drain_s", 0.0))
     for upstream in instances:
         directory.update(upstream)
     permits = fields.get("permits")
--- a/tests/membership/test_upstreams.py
+++ b/tests/membership/test_upstreams.py
@@ -142,3 +142,33 @@
     directory.update(replace(INSTANCE, service="other"))
     assert not directory.instances("svc")
     assert len(directory.instances("other")) == 1
+
+
+def test_leaving_instance_that_is_listed_again_gets_no_new_work() -> None:
+    """Guard against a leaving instance in use again after its key had expired."""
+    directory, clock = _directory()
+    directory.find("i-1").record_leaving(clock.now_s)
+    directory.remove("i-1")
+    clock.now_s = 20.0
+    directory.update(INSTANCE)
+    assert not directory.find("i-1").usable(clock.now_s)
+
+
+def test_restarted_instance_is_used_although_the_former_one_left() -> None:
+    """Guard against an instance that stays unused after a restart under its id."""
+    directory, clock = _directory()
+    directory.find("i-1").record_leaving(clock.now_s)
+    directory.update(replace(INSTANCE, started_ms=2000))
+    assert directory.find("i-1").usable(clock.now_s)
+
+
+def test_removals_of_leaving_instances_are_no_mass_expiry() -> None:
+    """Guard against work for instances that left as they had stated."""
+    directory, clock = _directory()
+    for number in range(2, 5):
+        directory.update(replace(INSTANCE, instance_id=f"i-{number}"))
+    for instance_id in ("i-1", "i-2", "i-3"):
+        directory.find(instance_id).record_leaving(clock.now_s)
+    directory.detect_mass_expiry(["i-1", "i-2", "i-3"])
+    directory.remove("i-1")
+    assert len(directory.instances("svc")) == 3
--- a/tests/request/test_leaving_instances.py
+++ b/tests/request/test_leaving_instances.py
@@ -62,3 +62,51 @@
         for number in range(100, 140):
             assert await _request(gateway, number) == 200
     assert len(leaving.requests) == 1
+
+
+async def test_only_instances_that_leave_serve_until_the_end_of_their_drain() -> None:
+    """Guard against refusals while the last instances of a service still accept work.
+
+    After the drain time they get none, and callers are refused at once.
+    """
+    drain_s = 1.0
+    async with (
+        raw_server(_answer_leaving) as first,
+        raw_server(_answer_leaving) as second,
+        serving_gateway(
+            [instance(0, first.address), instance(1, second.address)],
+            route_table([_route()]),
+            drain_s=drain_s,
+        ) as gateway,
+    ):
+        assert await _request(gateway, 0) == 200
+        assert await _request(gateway, 1) == 200
+        assert await _request(gateway, 2) == 200
+        await asyncio.sleep(drain_s)
+        received = len(first.requests) + len(second.requests)
+        sent_s = gateway.clock.monotonic_s()
+        assert await _request(gateway, 3) == 503
+        assert gateway.clock.monotonic_s() - sent_s < 0.2
+        assert len(first.requests) + len(second.requests) == received
+
+
+async def test_leaving_statement_of_another_instance_is_ignored() -> None:
+    """Guard against an instance given up for the worker that has its former address."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        headers = {
+            ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
+            "Server-Leaving": "1",
+        }
+        writer.write(raw_response(b"", "421 Wrong", **headers))
+
+    async with (
+        raw_server(answer) as server,
+        serving_gateway(
+            [instance(0, server.address)], route_table([_route()])
+        ) as gateway,
+    ):
+        assert await _request(gateway, 0) == 503
+        state = gateway.directory.find("i-0")
+        assert state is not None
+        assert not state.leaves()
