Let the workers of the soak state limits and leave

They now state limits that change, and leave and start again, with and without an entry in the platform's list, while two series of process faults and one of link faults overlap. Entries and storage processes can be many.

--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -1,12 +1,14 @@
 """Randomized soak of the platform's programs under faults.
 
 Usage:
-  soak [--seed SEED] [--seconds SECONDS] [--callers COUNT] [--folder FOLDER]
+  soak [options]
 
 Options:
   --seed SEED        Seed of programs and faults [default: 1].
   --seconds SECONDS  Duration [default: 20].
   --callers COUNT    Programs at the same time [default: 6].
+  --entries COUNT    Entry processes [default: 3].
+  --storages COUNT   Storage processes [default: 3].
   --folder FOLDER    Folder of settings, disks and logs; a new temporary one when
                      omitted. It is kept when a guarantee was violated.
 
@@ -31,6 +33,7 @@
 
 from lentilroad.soak.programs import Caller, Findings
 from lentilroad.soak.proxy import LinkFault
+from lentilroad.soak.statements import LimitPeriod, StatementChecks
 from lentilroad.soak.world import ProgramProcess, World, configuration
 
 # Starting six processes takes many seconds on a busy machine.
@@ -38,25 +41,44 @@
 # Bound on the catch-up of an empty disk; only after it may another disk be lost.
 CATCH_UP_S = 4.4
 IN_FLIGHT_WAIT_S = 2.0
+PROCESS_FAULT_SERIES = 2
+# Shares of a worker's faults: it states a limit, or leaves, also as the list has it.
+LIMIT_SHARE = 0.6
+LISTED_DRAIN_SHARE = 0.5
 
 
 async def run_soak(
-    *, folder: Path, seed: int, duration_s: float, callers: int
+    *,
+    folder: Path,
+    seed: int,
+    duration_s: float,
+    callers: int,
+    entries: int = 3,
+    storages: int = 3,
 ) -> Findings:
     """Run programs under random faults and return the findings."""
     source = random.Random(seed)
     world = World(folder=folder, source=source)
     caller = Caller(world=world, source=source)
     try:
-        await world.start()
+        await world.start(entries=entries, storages=storages)
         await world.wait_ready(START_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
-            # Process faults follow one another, as link faults do; the two kinds
-            # overlap.
+            # Faults of one series follow one another; the series overlap.
+            disk_loss = asyncio.Lock()
             faults = asyncio.gather(
-                _inject_process_faults(world, source),
+                *(
+                    _inject_process_faults(world, source, disk_loss)
+                    for _ in range(PROCESS_FAULT_SERIES)
+                ),
                 _inject_link_faults(world, source),
+                *(
+                    _inject_statements(
+                        world, number, source, caller.findings.statements
+                    )
+                    for number in range(len(world.workers))
+                ),
             )
             running = [
                 asyncio.create_task(_repeat_programs(caller, session))
@@ -80,8 +102,40 @@
         await caller.run_program(session)
 
 
-async def _inject_process_faults(world: World, source: random.Random) -> None:
-    version = 1
+async def _inject_statements(
+    world: World, number: int, source: random.Random, checks: StatementChecks
+) -> None:
+    """Let one worker state limits, or leave and start again, in series."""
+    worker = world.workers[number]
+    clock = asyncio.get_running_loop().time
+    while True:
+        await asyncio.sleep(source.uniform(0.5, 4.0))
+        if source.random() < LIMIT_SHARE:
+            for _ in range(source.randint(1, 2)):
+                worker.limit_per_s = round(source.uniform(0.2, 8.0), 1)
+                period = LimitPeriod(
+                    worker=(worker.instance_id, worker.start_number),
+                    limit_per_s=worker.limit_per_s,
+                    began_s=clock(),
+                )
+                checks.periods.append(period)
+                await asyncio.sleep(source.uniform(3.0, 12.0))
+                period.ended_s = clock()
+            worker.limit_per_s = None
+            continue
+        worker.leaving = True
+        if source.random() < LISTED_DRAIN_SHARE:
+            await asyncio.sleep(source.uniform(0.0, 3.0))
+            await world.register_worker(number, "draining")
+        await asyncio.sleep(source.uniform(1.0, 6.0))
+        worker.leaving = False
+        worker.start_number += 1
+        await world.register_worker(number)
+
+
+async def _inject_process_faults(
+    world: World, source: random.Random, disk_loss: asyncio.Lock
+) -> None:
     while True:
         await asyncio.sleep(source.uniform(0.3, 1.5))
         kind = source.choice(
@@ -96,16 +150,14 @@
         elif kind == "stop":
             await _restart(source.choice(world.entries), signal.SIGTERM, 0.1)
         elif kind == "pause":
-            process = source.choice([*world.entries, *world.storages])
-            process.send(signal.SIGSTOP)
-            await asyncio.sleep(source.uniform(0.2, 2.5))
-            process.send(signal.SIGCONT)
+            await _pause(
+                source.choice([*world.entries, *world.storages]),
+                source.uniform(0.2, 2.5),
+            )
         elif kind == "wipe":
-            process = source.choice(world.storages)
-            await process.end(signal.SIGKILL)
-            process.wipe()
-            await process.start()
-            await asyncio.sleep(CATCH_UP_S)
+            async with disk_loss:
+                await _replace_disk(source.choice(world.storages))
+                await asyncio.sleep(CATCH_UP_S)
         elif kind == "store":
             world.store.refusing = True
             await asyncio.sleep(source.uniform(0.5, 3.0))
@@ -117,8 +169,10 @@
             for worker in world.workers:
                 worker.lost_reply_share = 0.0
         else:
-            version += source.randint(1, 3)
-            await world.store.put("op/config", configuration(version=version))
+            world.configuration_version += source.randint(1, 3)
+            await world.store.put(
+                "op/config", configuration(version=world.configuration_version)
+            )
 
 
 async def _inject_link_faults(world: World, source: random.Random) -> None:
@@ -149,9 +203,24 @@
 async def _restart(
     process: ProgramProcess, number: signal.Signals, pause_s: float
 ) -> None:
-    await process.end(number)
-    await asyncio.sleep(pause_s)
-    await process.start()
+    async with process.fault_lock:
+        await process.end(number)
+        await asyncio.sleep(pause_s)
+        await process.start()
+
+
+async def _pause(process: ProgramProcess, pause_s: float) -> None:
+    async with process.fault_lock:
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(pause_s)
+        process.send(signal.SIGCONT)
+
+
+async def _replace_disk(process: ProgramProcess) -> None:
+    async with process.fault_lock:
+        await process.end(signal.SIGKILL)
+        process.wipe()
+        await process.start()
 
 
 def main(arguments: list[str]) -> int:
@@ -164,6 +233,8 @@
             seed=int(options["--seed"]),
             duration_s=float(options["--seconds"]),
             callers=int(options["--callers"]),
+            entries=int(options["--entries"]),
+            storages=int(options["--storages"]),
         )
     )
     passed = not findings.violations and findings.served > 0
--- a/lentilroad/soak/programs.py
+++ b/lentilroad/soak/programs.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from lentilroad.soak.statements import StatementChecks
 from lentilroad.soak.world import (
     CLIENT_PORT,
     MAX_TOKENS_PER_TURN,
@@ -39,6 +40,7 @@
     not_run: set[str] = field(default_factory=set)
     at_most_once: set[str] = field(default_factory=set)
     expected_bodies: dict[str, bytes] = field(default_factory=dict)
+    statements: StatementChecks = field(default_factory=StatementChecks)
     served: int = 0
     refused: int = 0
     failed: int = 0
@@ -53,6 +55,9 @@
             expected = self.expected_bodies.get(request_id)
             if expected is not None and any(run.body != expected for run in runs):
                 self.violations.append(f"{request_id} ran with a wrong history")
+        self.violations += self.statements.violations(
+            run for runs in world.log.runs.values() for run in runs
+        )
 
 
 class Caller:
@@ -137,6 +142,8 @@
         entry = self._source.choice(self._world.entries)
         received = bytearray()
         status = 0
+        clock = asyncio.get_running_loop().time
+        findings.statements.record_sent(request_id, entry, clock())
         try:
             async with (
                 asyncio.timeout(REPLY_TIMEOUT_S),
@@ -152,6 +159,15 @@
                 ) as response,
             ):
                 status = response.status
+                instance_id = response.headers.get("Lentilroad-Instance-Id")
+                if instance_id is not None:
+                    worker = self._world.workers[int(instance_id.removeprefix("i-"))]
+                    findings.statements.record_answer(
+                        entry,
+                        (instance_id, worker.start_number),
+                        response.headers,
+                        clock(),
+                    )
                 async for chunk in response.content.iter_any():
                     received += chunk
         except (aiohttp.ClientError, TimeoutError, ConnectionError):
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -26,6 +26,7 @@
 RETENTION_S = 60.0
 GRACE_S = 4.0
 READY_POLL_S = 0.1
+START_INTERVAL_S = 0.05
 
 
 class ProgramProcess:
@@ -55,6 +56,10 @@
         self.ip = f"127.{network}.{octet}.{number + 1}"
         self.region = REGIONS[number % len(REGIONS)]
         self.process: asyncio.subprocess.Process | None = None
+        # Loop times of starts and signals; a process need not know what came before.
+        self.disturbed_s: list[float] = []
+        # Held by the fault that ends or pauses the process.
+        self.fault_lock = asyncio.Lock()
         self._folder = folder / self.name
         self._store_address = store_address
         self._first_start = True
@@ -65,6 +70,7 @@
         settings = self._folder / "settings.toml"
         settings.write_text(self._settings(), encoding="utf-8")
         self._first_start = False
+        self.disturbed_s.append(asyncio.get_running_loop().time())
         with (self._folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -79,6 +85,7 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
+        self.disturbed_s.append(asyncio.get_running_loop().time())
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
@@ -148,9 +155,19 @@
         self.workers: list[WorkerStandIn] = []
         # One link to each worker, and one from each process to the metadata store.
         self.links: list[LinkProxy] = []
+        self.configuration_version = 1
+        self._worker_addresses: list[str] = []
         self._folder = folder
         self._source = source
 
+    async def register_worker(self, number: int, state: str = "ready") -> None:
+        """Write a worker's entry of the platform's list."""
+        worker = self.workers[number]
+        entry = _encode_worker(
+            self._worker_addresses[number], number, worker.start_number, state
+        )
+        await self.store.put(f"servers/i-{number}", entry)
+
     async def start(self, *, entries: int = 3, storages: int = 3) -> None:
         """Start all stand-ins and processes and write the first configuration."""
         await self.store.start("127.0.0.1", 0)
@@ -161,15 +178,17 @@
             await worker.start("127.0.0.1")
             self.workers.append(worker)
             link = await self._open_link(worker.address)
-            await self.store.put(
-                f"servers/i-{number}", _encode_worker(link.address, number)
-            )
+            self._worker_addresses.append(link.address)
+            await self.register_worker(number)
         await self.store.put("op/config", configuration(version=1))
         for role, count, processes in (
             ("storage", storages, self.storages),
             ("entry", entries, self.entries),
         ):
             for number in range(count):
+                if number:
+                    # Starting all processes at once would exhaust the processor.
+                    await asyncio.sleep(START_INTERVAL_S)
                 link = await self._open_link(self.store.address)
                 process = ProgramProcess(
                     role=role,
@@ -256,7 +275,7 @@
     ).encode()
 
 
-def _encode_worker(address: str, number: int) -> bytes:
+def _encode_worker(address: str, number: int, start_number: int, state: str) -> bytes:
     region = REGIONS[number % len(REGIONS)]
     return json.dumps(
         {
@@ -264,8 +283,8 @@
             "Address": address,
             "Zone": f"{region}-a",
             "Slots": 8,
-            "State": "ready",
+            "State": state,
             "Sequence": 1,
-            "born": 1,
+            "born": start_number,
         }
     ).encode()
--- a/lentilroad/standins/platform_worker.py
+++ b/lentilroad/standins/platform_worker.py
@@ -11,11 +11,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class Run:
-    """One execution of a request by a worker."""
+    """One execution of a request by a worker.
+
+    Attributes
+    ----------
+    worker : tuple of (str, int)
+        Instance id and start number of the worker.
+    received_s : float
+        Loop time at which the request arrived.
+    """
 
     request_id: str
     target: str
     body: bytes
+    worker: tuple[str, int]
+    received_s: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -47,6 +57,12 @@
         self.address = ""
         # Share of requests whose reply is lost after they have run.
         self.lost_reply_share = 0.0
+        # Number of the current start; the platform's list has it as well.
+        self.start_number = 1
+        # Requests per second that the worker states to accept from all callers.
+        self.limit_per_s: float | None = None
+        # Whether the worker states that it leaves.
+        self.leaving = False
         self._log = log
         self._source = source
         self._server: asyncio.Server | None = None
@@ -94,13 +110,25 @@
             f"Lentilroad-Attempt-Id: {request_id}\r\n"
             f"Lentilroad-Instance-Id: {self.instance_id}\r\n"
         )
+        if self.limit_per_s is not None:
+            common += f"Server-Limit: {self.limit_per_s}\r\n"
+        if self.leaving:
+            common += "Server-Leaving: 1\r\n"
         if headers.get("lentilroad-expected-instance") != self.instance_id:
             writer.write(
                 f"HTTP/1.1 421 Wrong\r\n{common}Content-Length: 0\r\n\r\n".encode()
             )
             return True
         target = line.split(" ")[1]
-        self._log.add(Run(request_id=request_id, target=target, body=body))
+        self._log.add(
+            Run(
+                request_id=request_id,
+                target=target,
+                body=body,
+                worker=(self.instance_id, self.start_number),
+                received_s=asyncio.get_running_loop().time(),
+            )
+        )
         await asyncio.sleep(self._source.uniform(0.005, 0.05))
         if self._source.random() < self.lost_reply_share:
             return False
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,14 +10,16 @@
 from lentilroad.soak.main import run_soak
 
 
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", [1, 2, 3])
 def test_no_guarantee_is_violated_under_faults(seed: int, tmp_path: Path) -> None:
     """Guard against violations that occur only between separate processes.
 
+    Workers state limits and leave while processes are killed, stopped and frozen.
+
     Each seed that ever failed stays in the parameters, with a line on its cause.
     """
     findings = asyncio.run(
-        run_soak(folder=tmp_path, seed=seed, duration_s=8.0, callers=4)
+        run_soak(folder=tmp_path, seed=seed, duration_s=15.0, callers=20)
     )
     assert findings.violations == []
     assert findings.served > 0
