Compute the rate of waiting requests once for each check of the queue

The check of waiting requests against new rate limits looked up the paused instances for each request; it now does so once, so that its cost stays linear in the queue.

--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -198,7 +198,7 @@
     def dispatch_waiting(self) -> None:
         """Place waiting requests after instances changed or exclusions expired."""
         self._cached_parts.expire(self._clock.monotonic_s())
-        for service in self._services.values():
+        for name, service in self._services.items():
             service.index.end_expired_exclusions()
             for key, waiter in list(service.waiting.items()[:MAX_WAITERS_CHECKED]):
                 if not service.index.has_free_slot():
@@ -206,20 +206,24 @@
                 chosen = self._choose(service, waiter.request)
                 if chosen is not None:
                     self._grant(service, key, waiter, chosen)
-            self._refuse_late_waiters(service)
+            self._refuse_late_waiters(service, name)
 
     def _dispatch_at(self, time_s: float) -> None:
         delay_s = time_s - self._clock.monotonic_s() + TIMER_MARGIN_S
         asyncio.get_running_loop().call_later(delay_s, self.dispatch_waiting)
 
-    def _refuse_late_waiters(self, service: _Service) -> None:
-        """Refuse waiting requests that a new rate limit makes miss their deadline."""
+    def _refuse_late_waiters(self, service: _Service, name: str) -> None:
+        """Refuse waiting requests that rate limits make miss their deadline."""
         if service.index.next_permit_s() is None:
             return
         now_s = self._clock.monotonic_s()
+        rate_per_s = self._rate_per_s(service, name)
+        first_wait_s = self._paused_for_s(service) or 0.0
+        if rate_per_s == 0.0:
+            return
         for position, (key, waiter) in enumerate(list(service.waiting.items())):
-            wait_s = self._expected_wait_s(service, waiter.request.service, position)
-            if wait_s is None or now_s + wait_s <= waiter.deadline_s:
+            wait_s = max(first_wait_s, position / rate_per_s)
+            if now_s + wait_s <= waiter.deadline_s:
                 continue
             del service.waiting[key]
             if not waiter.slot.done():
@@ -472,6 +476,17 @@
     def _expected_wait_s(
         self, service: _Service, name: str, position: int
     ) -> float | None:
+        """Return the expected wait at a position of the queue, or None if unknown."""
+        rate_per_s = self._rate_per_s(service, name)
+        if rate_per_s == 0.0:
+            return None
+        first_wait_s = self._paused_for_s(service)
+        if first_wait_s is None:
+            return (position + 1) / rate_per_s
+        return max(first_wait_s, position / rate_per_s)
+
+    def _rate_per_s(self, service: _Service, name: str) -> float:
+        """Return the rate at which this process may expect to complete requests."""
         now_s = self._clock.monotonic_s()
         if service.rate_until_s <= now_s:
             service.rate_until_s = now_s + RATE_CACHE_S
@@ -480,13 +495,14 @@
                 for state in self._directory.instances(name)
                 if state.usable(now_s)
             )
-        if service.rate_per_s == 0.0:
+        return service.rate_per_s
+
+    def _paused_for_s(self, service: _Service) -> float | None:
+        """Return the time until a permit is expected, if all instances are paused."""
+        if service.index.usable_count() > 0:
             return None
         permit_s = service.index.next_permit_s()
-        if service.index.usable_count() > 0 or permit_s is None:
-            return (position + 1) / service.rate_per_s
-        # All instances are paused by their rate limits.
-        return max(permit_s - now_s, position / service.rate_per_s)
+        return None if permit_s is None else permit_s - self._clock.monotonic_s()
 
 
 def _prefill_cost_s(request: PlacementRequest) -> float:
