Keep the statements of an instance whose key expires and comes back

An instance whose key expired and came back got a new state, which knew nothing of a limit or of leaving until its next response; a response to an earlier request that arrived afterwards was recorded with the former state only. The new state now takes over what the former one knew, and statements are recorded with both. A restarted instance starts without statements, as before. The types of the statements have a module of their own, and permits take memory for limited instances only.

tests/request/test_leaving_instances.py fails without the second part.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from lentilroad.clock import Clock
 from lentilroad.connection.http_pool import HttpPool
+from lentilroad.membership.statements import Permits, RateLimit
 from lentilroad.process.events import log_event
 
 # Keys of live instances that expire while the store is unreachable are written again
@@ -23,9 +22,9 @@
 # Weight of the newest sample in the running mean of an instance's failures; the mean
 # covers about the last 15 requests.
 FAILURE_WEIGHT = 0.07
-# An instance that leaves is remembered for this long after its key was removed, since
-# the key may come back while the instance still serves.
-LEAVING_MEMORY_S = 600.0
+# What a removed instance stated is kept for this long, since its key may come back
+# while the same process still serves.
+FORMER_STATE_MEMORY_S = 600.0
 # Share of the drain time in which a leaving instance gets requests that no other
 # instance can accept.
 LEAVING_LAST_RESORT_SHARE = 0.8
@@ -64,53 +63,6 @@
         return self.instance_id, self.address, self.started_ms
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RateLimit:
-    """Limit that an instance stated in a response.
-
-    Attributes
-    ----------
-    per_s : float or None
-        Requests per second that the instance accepts from all entries together; None
-        if it accepts any number.
-    stated_at_s : float
-        Monotonic time at which the response arrived.
-    """
-
-    per_s: float | None
-    stated_at_s: float
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class Permits:
-    """Permits of this process for requests to one rate-limited instance.
-
-    Attributes
-    ----------
-    valid_until_s : deque of float
-        Monotonic time at which each permit expires.
-    requested : int
-        Requests that wait for a permit.
-    lock : asyncio.Lock
-        Held while permits are requested.
-    """
-
-    valid_until_s: deque[float] = field(default_factory=deque)
-    requested: int = 0
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-
-    def add(self, count: int, until_s: float) -> None:
-        """Add permits that expire at a monotonic time."""
-        self.valid_until_s.extend([until_s] * count)
-
-    def take(self, now_s: float) -> bool:
-        """Take a permit that has not expired, and return whether there was one."""
-        while self.valid_until_s:
-            if self.valid_until_s.popleft() > now_s:
-                return True
-        return False
-
-
 @dataclass(slots=True, kw_only=True, eq=False)
 class UpstreamState:
     """State of one incarnation of an instance, as observed by this process.
@@ -131,6 +83,8 @@
     rate_limit : RateLimit or None
         Newest known statement of the instance about its limit; None if it never
         stated one.
+    permits : Permits or None
+        Permits of this process; None before the first one was requested.
     paused_until_s : float
         Monotonic time until which no permit is requested for the instance.
     permit_expected_s : float
@@ -151,7 +105,7 @@
     suspected_until_s: float = 0.0
     mean_response_s: float = 0.0
     rate_limit: RateLimit | None = None
-    permits: Permits = field(default_factory=Permits)
+    permits: Permits | None = None
     paused_until_s: float = 0.0
     permit_expected_s: float = 0.0
     share_per_s: float = 0.0
@@ -159,6 +113,7 @@
     drain_s: float = 0.0
     expired: bool = False
     removed: bool = False
+    removed_at_s: float = 0.0
     failure_share: float = 0.0
     # Monotonic send times of the requests that have no answer yet, by request id.
     unanswered: dict[str, float] = field(default_factory=dict)
@@ -318,15 +273,15 @@
         "_clock",
         "_drain_s",
         "_expiry_grace_until_s",
-        "_leaving_since_s",
+        "_former",
         "loaded",
     )
 
     def __init__(self, *, clock: Clock, drain_s: float = 0.0) -> None:
         self._clock = clock
         self._drain_s = drain_s
-        # Statements of removed instances that they are leaving, by incarnation.
-        self._leaving_since_s: dict[tuple[str, str, int], float] = {}
+        # Last states of removed instances that may come back, by incarnation.
+        self._former: dict[tuple[str, str, int], UpstreamState] = {}
         self._by_id: dict[str, UpstreamState] = {}
         self._by_service: dict[str, dict[str, UpstreamState]] = {}
         self._on_change: Callable[[UpstreamState], None] = lambda state: None
@@ -393,8 +348,12 @@
                 pool=HttpPool(address=instance.address, clock=self._clock),
                 on_change=self._on_change,
                 drain_s=self._drain_s,
-                leaving_since_s=self._leaving_since_s.get(instance.incarnation()),
             )
+            former = self._former.pop(instance.incarnation(), None)
+            if former is not None:
+                # What the instance stated still holds.
+                state.rate_limit = former.rate_limit
+                state.leaving_since_s = former.leaving_since_s
             self._by_id[instance.instance_id] = state
             self._by_service.setdefault(instance.service, {})[instance.instance_id] = (
                 state
@@ -446,18 +405,33 @@
         """Return an instance by its id, or None if it is unknown."""
         return self._by_id.get(instance_id)
 
-    def _remember_leaving(self, state: UpstreamState) -> None:
+    def incarnation_states(self, state: UpstreamState) -> list[UpstreamState]:
+        """Return a state and, if it was replaced, the one of the same incarnation.
+
+        An instance whose key expired and came back has a new state, while responses
+        to earlier requests still belong to the former one.
+        """
+        current = self._by_id.get(state.instance.instance_id)
+        if (
+            current is None
+            or current is state
+            or current.instance.incarnation() != state.instance.incarnation()
+        ):
+            return [state]
+        return [state, current]
+
+    def _keep_former(self, state: UpstreamState) -> None:
         now_s = self._clock.monotonic_s()
-        for incarnation, since_s in list(self._leaving_since_s.items()):
-            if now_s - since_s > LEAVING_MEMORY_S:
-                del self._leaving_since_s[incarnation]
-        if state.leaving_since_s is not None:
-            self._leaving_since_s[state.instance.incarnation()] = state.leaving_since_s
+        for incarnation, former in list(self._former.items()):
+            if now_s - former.removed_at_s > FORMER_STATE_MEMORY_S:
+                del self._former[incarnation]
+        state.removed_at_s = now_s
+        self._former[state.instance.incarnation()] = state
 
     def _remove(self, state: UpstreamState) -> None:
         state.removed = True
         state.pool.close()
-        self._remember_leaving(state)
+        self._keep_former(state)
         instance = state.instance
         if self._by_id.get(instance.instance_id) is state:
             del self._by_id[instance.instance_id]
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -14,7 +14,8 @@
     refuses_connections,
 )
 from lentilroad.errors import UnavailableError, UpstreamError
-from lentilroad.membership.upstreams import RateLimit, UpstreamState
+from lentilroad.membership.statements import RateLimit
+from lentilroad.membership.upstreams import UpstreamState
 from lentilroad.process.events import log_event
 from lentilroad.request.const import (
     EXCLUDE_AFTER_FAILURE_S,
@@ -262,15 +263,18 @@
         # duplicate of an earlier response.
         if flags.wrong_instance or not flags.identified:
             return
-        now_s = self._clock.monotonic_s()
-        if flags.leaving:
-            state.record_leaving(now_s)
-        if flags.rate_limit_per_s is None and not (flags.sealed or flags.not_run):
-            return
-        if state.record_rate_limit(
-            RateLimit(per_s=flags.rate_limit_per_s, stated_at_s=now_s)
-        ):
-            self._on_rate_limit(state)
+        states_limit = flags.rate_limit_per_s is not None
+        limit = RateLimit(
+            per_s=flags.rate_limit_per_s, stated_at_s=self._clock.monotonic_s()
+        )
+        for known in self._dispatcher.incarnation_states(state):
+            if flags.leaving:
+                known.record_leaving(limit.stated_at_s)
+            # A response without a limit withdraws an earlier one.
+            if not (states_limit or flags.sealed or flags.not_run):
+                continue
+            if known.record_rate_limit(limit):
+                self._on_rate_limit(known)
 
     async def _response_head(
         self,
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -188,6 +188,10 @@
             for other in index.cheapest_free(zone, request.excluded)
         )
 
+    def incarnation_states(self, state: UpstreamState) -> list[UpstreamState]:
+        """Return a state and, if it was replaced, the one of the same incarnation."""
+        return self._directory.incarnation_states(state)
+
     def release(self, state: UpstreamState) -> None:
         """Release a slot and offer it to waiting requests."""
         state.in_flight -= 1
--- a/lentilroad/request/permits.py
+++ b/lentilroad/request/permits.py
@@ -15,7 +15,8 @@
     PermitReply,
     PermitRequest,
 )
-from lentilroad.membership.upstreams import RateLimit, UpstreamInstance, UpstreamState
+from lentilroad.membership.statements import Permits, RateLimit
+from lentilroad.membership.upstreams import UpstreamInstance, UpstreamState
 from lentilroad.process.events import log_event
 
 # A permit is used at once; this bounds the wait of requests that share one call.
@@ -61,16 +62,18 @@
 
     async def take(self, state: UpstreamState) -> bool:
         """Take a permit for one request; False if the instance is paused instead."""
+        if state.permits is None:
+            state.permits = Permits()
         permits = state.permits
         permits.requested += 1
         try:
             # Requests that arrive during a call share the next one.
             async with permits.lock:
-                if self._take_available(state):
+                if self._take_available(state, permits):
                     return True
                 if state.paused_until_s <= self._clock.monotonic_s():
                     await self._acquire(state, wanted=permits.requested)
-                return self._take_available(state)
+                return self._take_available(state, permits)
         finally:
             permits.requested -= 1
 
@@ -80,10 +83,10 @@
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
 
-    def _take_available(self, state: UpstreamState) -> bool:
+    def _take_available(self, state: UpstreamState, permits: Permits) -> bool:
         if state.limit_per_s() is None:
             return True
-        return state.permits.take(self._clock.monotonic_s())
+        return permits.take(self._clock.monotonic_s())
 
     async def _acquire(self, state: UpstreamState, *, wanted: int) -> None:
         coordinators = self._coordinators(state.instance)[: len(COORDINATOR_SHARES)]
@@ -138,7 +141,7 @@
         state.record_rate_limit(
             RateLimit(per_s=reply.limit_per_s, stated_at_s=now_s - reply.age_s)
         )
-        if wanted == 0 or state.limit_per_s() is None:
+        if state.permits is None or wanted == 0 or state.limit_per_s() is None:
             return
         state.share_per_s = reply.share_per_s
         if reply.granted:
--- a/tests/request/test_leaving_instances.py
+++ b/tests/request/test_leaving_instances.py
@@ -110,3 +110,27 @@
         state = gateway.directory.find("i-0")
         assert state is not None
         assert not state.leaves()
+
+
+async def test_statement_that_arrives_after_the_key_came_back_counts() -> None:
+    """Guard against a statement lost because the instance's key expired meanwhile."""
+    received = asyncio.Event()
+    answer_now = asyncio.Event()
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        received.set()
+        await answer_now.wait()
+        await _answer_leaving(request, writer)
+
+    async with raw_server(answer) as server:
+        upstream = instance(0, server.address)
+        async with serving_gateway([upstream], route_table([_route()])) as gateway:
+            request = asyncio.create_task(_request(gateway, 0))
+            await received.wait()
+            gateway.directory.remove("i-0")
+            gateway.directory.update(upstream)
+            answer_now.set()
+            assert await request == 200
+            state = gateway.directory.find("i-0")
+            assert state is not None
+            assert state.leaves()
--- a/tests/request/test_shared_rate_limits.py
+++ b/tests/request/test_shared_rate_limits.py
@@ -10,11 +10,8 @@
 from lentilroad.clock import LoopClock
 from lentilroad.errors import LentilroadError, OverloadedError
 from lentilroad.membership.rate_limits import MAX_REFUSALS_PER_S
-from lentilroad.membership.upstreams import (
-    RateLimit,
-    UpstreamDirectory,
-    UpstreamInstance,
-)
+from lentilroad.membership.statements import RateLimit
+from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.work import PlacementRequest
 from lentilroad.standins.virtual_loop import run_virtual
