--- a/tests/request/test_leaving_instances.py
+++ b/tests/request/test_leaving_instances.py
@@ -3,65 +3,37 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
-from lentilroad.version.routes import Route, RouteKind
-from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
-from tests.fakes.raw_server import RawRequest, raw_response, raw_server
+from lentilroad.version.routes import RouteKind
+from tests.fakes.gateway import instance, route_table, serving_gateway
+from tests.fakes.raw_server import RawRequest, raw_server
+from tests.fakes.stating_worker import StatingWorker, send, stating_route
 
-HOST = {"Host": "h.example"}
+# Requests that are not repeated, so that each one is one send.
+ROUTE = replace(stating_route(), kind=RouteKind.NON_IDEMPOTENT, attempts=1)
+TABLE = route_table([ROUTE])
 
 
-async def _answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-    headers = {
-        ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
-        "Lentilroad-Response-Seal": "s",
-    }
-    writer.write(raw_response(b"ok", **headers))
-
-
-async def _answer_leaving(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-    headers = {
-        ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
-        "Lentilroad-Response-Seal": "s",
-        "Server-Leaving": "1",
-    }
-    writer.write(raw_response(b"ok", **headers))
-
-
-def _route() -> Route:
-    return Route(
-        name="r",
-        host="h.example",
-        prefix="/r/",
-        kind=RouteKind.NON_IDEMPOTENT,
-        timeout_s=1.0,
-        target_latency_s=0.2,
-        services=(("svc", 1),),
-    )
-
-
-async def _request(gateway, number: int) -> int:
-    headers = {**HOST, ATTEMPT_ID: f"a{number}"}
-    async with gateway.session.post("/r/x", headers=headers) as response:
-        await response.read()
-        return response.status
+def _leaving_worker() -> StatingWorker:
+    return StatingWorker(Server_Leaving="1")
 
 
 async def test_instance_that_stated_that_it_leaves_gets_no_further_requests() -> None:
     """Guard against requests to a leaving instance that the list still has as ready."""
+    leaving, staying = _leaving_worker(), StatingWorker()
     async with (
-        raw_server(_answer_leaving) as leaving,
-        raw_server(_answer) as staying,
+        raw_server(leaving.answer) as first,
+        raw_server(staying.answer) as second,
         serving_gateway(
-            [instance(0, leaving.address), instance(1, staying.address)],
-            route_table([_route()]),
+            [instance(0, first.address), instance(1, second.address)], TABLE
         ) as gateway,
     ):
-        while not leaving.requests:
-            assert await _request(gateway, len(staying.requests)) == 200
+        while not leaving.received_s:
+            assert await send(gateway.session, len(staying.received_s)) == 200
         for number in range(100, 140):
-            assert await _request(gateway, number) == 200
-    assert len(leaving.requests) == 1
+            assert await send(gateway.session, number) == 200
+    assert len(leaving.received_s) == 1
 
 
 async def test_only_instances_that_leave_serve_until_the_end_of_their_drain() -> None:
@@ -70,43 +42,34 @@
     After the drain time they get none, and callers are refused at once.
     """
     drain_s = 1.0
+    workers = [_leaving_worker(), _leaving_worker()]
     async with (
-        raw_server(_answer_leaving) as first,
-        raw_server(_answer_leaving) as second,
+        raw_server(workers[0].answer) as first,
+        raw_server(workers[1].answer) as second,
         serving_gateway(
             [instance(0, first.address), instance(1, second.address)],
-            route_table([_route()]),
+            TABLE,
             drain_s=drain_s,
         ) as gateway,
     ):
-        assert await _request(gateway, 0) == 200
-        assert await _request(gateway, 1) == 200
-        assert await _request(gateway, 2) == 200
+        for number in range(3):
+            assert await send(gateway.session, number) == 200
         await asyncio.sleep(drain_s)
-        received = len(first.requests) + len(second.requests)
         sent_s = gateway.clock.monotonic_s()
-        assert await _request(gateway, 3) == 503
+        assert await send(gateway.session, 3) == 503
         assert gateway.clock.monotonic_s() - sent_s < 0.2
-        assert len(first.requests) + len(second.requests) == received
+    assert sum(len(worker.received_s) for worker in workers) == 3
 
 
 async def test_leaving_statement_of_another_instance_is_ignored() -> None:
     """Guard against an instance given up for the worker that has its former address."""
-
-    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        headers = {
-            ATTEMPT_ID: request.headers[ATTEMPT_ID.lower()],
-            "Server-Leaving": "1",
-        }
-        writer.write(raw_response(b"", "421 Wrong", **headers))
-
+    worker = _leaving_worker()
+    worker.status = "421 Wrong"
     async with (
-        raw_server(answer) as server,
-        serving_gateway(
-            [instance(0, server.address)], route_table([_route()])
-        ) as gateway,
+        raw_server(worker.answer) as server,
+        serving_gateway([instance(0, server.address)], TABLE) as gateway,
     ):
-        assert await _request(gateway, 0) == 503
+        assert await send(gateway.session, 0) == 503
         state = gateway.directory.find("i-0")
         assert state is not None
         assert not state.leaves()
@@ -114,18 +77,18 @@
 
 async def test_statement_that_arrives_after_the_key_came_back_counts() -> None:
     """Guard against a statement lost because the instance's key expired meanwhile."""
-    received = asyncio.Event()
-    answer_now = asyncio.Event()
+    worker = _leaving_worker()
+    received, answer_now = asyncio.Event(), asyncio.Event()
 
     async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         received.set()
         await answer_now.wait()
-        await _answer_leaving(request, writer)
+        await worker.answer(request, writer)
 
     async with raw_server(answer) as server:
         upstream = instance(0, server.address)
-        async with serving_gateway([upstream], route_table([_route()])) as gateway:
-            request = asyncio.create_task(_request(gateway, 0))
+        async with serving_gateway([upstream], TABLE) as gateway:
+            request = asyncio.create_task(send(gateway.session, 0))
             await received.wait()
             gateway.directory.remove("i-0")
             gateway.directory.update(upstream)
