Do not let a late reply of a coordinator bring back a former limit

An entry dated the statement in a reply from the arrival of the reply, so that it seemed newer by the duration of the call and replaced a limit that the instance had stated meanwhile, until its next response. It is now dated from the start of the call.

test_statement_that_arrives_during_a_call_is_not_replaced_by_an_older_one failed before: 20 a second in force where 3 was stated last.

--- a/lentilroad/request/permits.py
+++ b/lentilroad/request/permits.py
@@ -91,8 +91,8 @@
     async def _acquire(self, state: UpstreamState, *, wanted: int) -> None:
         coordinators = self._coordinators(state.instance)[: len(COORDINATOR_SHARES)]
         for address in coordinators:
-            now_s = self._clock.monotonic_s()
-            if self._failed_until_s.get(address, 0.0) > now_s:
+            asked_s = self._clock.monotonic_s()
+            if self._failed_until_s.get(address, 0.0) > asked_s:
                 continue
             try:
                 reply = await self._call(
@@ -112,7 +112,13 @@
                     error=str(error) or type(error).__name__,
                 )
                 continue
-            self._apply(state, wanted, reply)
+            # Counted back from the start of the call, so that an older statement does
+            # not seem newer than one that arrived during the call.
+            state.record_rate_limit(
+                RateLimit(per_s=reply.limit_per_s, stated_at_s=asked_s - reply.age_s)
+            )
+            if wanted:
+                self._apply(state, reply)
             return
         if wanted:
             self._pause(
@@ -136,15 +142,12 @@
             wanted=wanted,
         )
 
-    def _apply(self, state: UpstreamState, wanted: int, reply: PermitReply) -> None:
-        now_s = self._clock.monotonic_s()
-        state.record_rate_limit(
-            RateLimit(per_s=reply.limit_per_s, stated_at_s=now_s - reply.age_s)
-        )
-        if state.permits is None or wanted == 0 or state.limit_per_s() is None:
+    def _apply(self, state: UpstreamState, reply: PermitReply) -> None:
+        if state.permits is None or state.limit_per_s() is None:
             return
         state.share_per_s = reply.share_per_s
         if reply.granted:
+            now_s = self._clock.monotonic_s()
             state.permits.add(reply.granted, now_s + PERMIT_VALID_S)
             return
         self._pause(
--- a/tests/request/test_shared_rate_limits.py
+++ b/tests/request/test_shared_rate_limits.py
@@ -268,3 +268,24 @@
         assert group.calls - calls <= 10.0 * (1.25 * MAX_REFUSALS_PER_S + 2.0)
 
     run_virtual(run())
+
+
+def test_statement_that_arrives_during_a_call_is_not_replaced_by_an_older_one() -> None:
+    """Guard against a former limit that a coordinator's late reply brings back."""
+
+    async def run() -> None:
+        group = CoordinatorGroup(
+            clock=LoopClock(loop=asyncio.get_running_loop()), latency_s=0.05
+        )
+        entry = _Entry("e-0", [_Worker(0, 20.0)], group)
+        await entry.request()
+        state = entry.directory.find("i-0")
+        assert state is not None
+        call = asyncio.create_task(entry.permits.take(state))
+        await entry.clock.sleep(0.06)
+        now_s = entry.clock.monotonic_s()
+        state.record_rate_limit(RateLimit(per_s=3.0, stated_at_s=now_s))
+        await call
+        assert state.limit_per_s() == 3.0
+
+    run_virtual(run())
