Use a raised rate limit at once

After a limit of 0.2 a second, the next permit and the turns of refused entries lay seconds ahead, and stayed there when the instance raised its limit; callers were refused although the instance could take them. A changed limit now ends pauses at the entry that learns of it, and the coordinator drops turns that were assigned at the former rate.

--- a/lentilroad/membership/rate_limits.py
+++ b/lentilroad/membership/rate_limits.py
@@ -182,6 +182,10 @@
                     reported_by=request.entry,
                 )
                 bucket.limit_per_s = request.limit_per_s
+                # Turns that were assigned at the former rate no longer apply.
+                interval_s = 1.0 / max(MIN_RATE_PER_S, request.limit_per_s or 0.0)
+                bucket.next_permit_s = min(bucket.next_permit_s, now_s + interval_s)
+                bucket.next_turn_s = 0.0
         bucket.used_s = now_s
         for entry, until_s in list(bucket.contenders.items()):
             if until_s < now_s:
--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -201,8 +201,8 @@
             limit_per_s=statement.per_s,
             previous_per_s=previous_per_s,
         )
-        if statement.per_s is None:
-            self.pause(0.0, permit_expected_s=0.0)
+        # A pause followed from the former limit.
+        self.pause(0.0, permit_expected_s=0.0)
         return True
 
     def record_leaving(self, now_s: float) -> None:
--- a/tests/request/test_shared_rate_limits.py
+++ b/tests/request/test_shared_rate_limits.py
@@ -289,3 +289,26 @@
         assert state.limit_per_s() == 3.0
 
     run_virtual(run())
+
+
+def test_raised_limit_is_used_at_once() -> None:
+    """Guard against turns that were assigned at a former, much lower limit."""
+
+    async def run() -> None:
+        worker = _Worker(0, 0.2)
+        entry = _Entry("e-0", [worker], _group())
+        await entry.request()
+        await entry.request()
+        # The next turn at the former limit is five seconds away.
+        state = entry.directory.find("i-0")
+        assert state is not None
+        assert not await entry.permits.take(state)
+        now_s = entry.clock.monotonic_s()
+        worker.limit_per_s = 20.0
+        assert state.record_rate_limit(RateLimit(per_s=20.0, stated_at_s=now_s))
+        entry.permits.report(state)
+        await entry.send_regularly(15.0, 2.0)
+        assert entry.refused <= 1
+        assert entry.served >= 25
+
+    run_virtual(run())
