Rename the turns of refused entries to expected permits

A turn is a model call of a conversation everywhere else; the coordinator used the word for the order of refused entries. Behaviour is unchanged.

--- a/lentilroad/membership/rate_limits.py
+++ b/lentilroad/membership/rate_limits.py
@@ -71,7 +71,7 @@
         Permits that are valid now.
     pause_s : float
         Seconds until the entry may ask again, if none was granted.
-    turn_s : float
+    expected_wait_s : float
         Seconds until the entry can expect a permit, if none was granted.
     share_per_s : float
         Rate that the entry can expect while all contending entries ask.
@@ -79,7 +79,7 @@
 
     granted: int
     pause_s: float
-    turn_s: float
+    expected_wait_s: float
     share_per_s: float
     limit_per_s: float | None
     age_s: float
@@ -100,8 +100,8 @@
     ----------
     next_permit_s : float
         Monotonic time at which the next permit becomes available.
-    next_turn_s : float
-        Monotonic time that the next refused entry is told to ask again at.
+    next_expected_s : float
+        Monotonic time at which the next refused entry can expect a permit.
     contenders : dict of str to float
         Monotonic time until which each entry counts as contending.
     """
@@ -109,7 +109,7 @@
     limit_per_s: float | None
     stated_at_s: float
     next_permit_s: float
-    next_turn_s: float = 0.0
+    next_expected_s: float = 0.0
     used_s: float = 0.0
     contenders: dict[str, float] = field(default_factory=dict)
 
@@ -139,15 +139,17 @@
             return _reply(bucket, now_s, granted=request.wanted)
         position = self._position(request.instance_id, request.availability_zone)
         if position >= len(COORDINATOR_SHARES):
-            return _reply(bucket, now_s, pause_s=MAX_PAUSE_S, turn_s=MAX_PAUSE_S)
+            return _reply(
+                bucket, now_s, pause_s=MAX_PAUSE_S, expected_wait_s=MAX_PAUSE_S
+            )
         rate_per_s = max(MIN_RATE_PER_S, bucket.limit_per_s)
         rate_per_s *= COORDINATOR_SHARES[position]
         granted = _take(bucket, request.wanted, rate_per_s, now_s)
-        pause_s = turn_s = 0.0
+        pause_s = expected_wait_s = 0.0
         if granted == 0 and request.wanted > 0:
-            turn_s = _next_turn_s(bucket, request.entry, rate_per_s, now_s)
+            expected_wait_s = _next_wait_s(bucket, request.entry, rate_per_s, now_s)
             longest_s = max(MAX_PAUSE_S, len(bucket.contenders) / MAX_REFUSALS_PER_S)
-            pause_s = min(longest_s, turn_s)
+            pause_s = min(longest_s, expected_wait_s)
         if request.wanted > 0:
             bucket.contenders[request.entry] = now_s + pause_s + CONTENDER_EXPIRY_S
         return _reply(
@@ -155,7 +157,7 @@
             now_s,
             granted=granted,
             pause_s=pause_s,
-            turn_s=turn_s,
+            expected_wait_s=expected_wait_s,
             share_per_s=rate_per_s / max(1, len(bucket.contenders)),
         )
 
@@ -182,10 +184,10 @@
                     reported_by=request.entry,
                 )
                 bucket.limit_per_s = request.limit_per_s
-                # Turns that were assigned at the former rate no longer apply.
+                # Times that entries were told at the former rate no longer apply.
                 interval_s = 1.0 / max(MIN_RATE_PER_S, request.limit_per_s or 0.0)
                 bucket.next_permit_s = min(bucket.next_permit_s, now_s + interval_s)
-                bucket.next_turn_s = 0.0
+                bucket.next_expected_s = 0.0
         bucket.used_s = now_s
         for entry, until_s in list(bucket.contenders.items()):
             if until_s < now_s:
@@ -210,16 +212,18 @@
     return granted
 
 
-def _next_turn_s(bucket: _Bucket, entry: str, rate_per_s: float, now_s: float) -> float:
+def _next_wait_s(bucket: _Bucket, entry: str, rate_per_s: float, now_s: float) -> float:
     """Return the seconds after which a refused entry can expect a permit.
 
-    The entries take turns, one for each permit.
+    Refused entries expect one permit each, in the order of their requests.
     """
     interval_s = 1.0 / rate_per_s
     contenders = len(bucket.contenders.keys() | {entry})
-    turn_at_s = max(bucket.next_permit_s, bucket.next_turn_s)
-    bucket.next_turn_s = min(turn_at_s + interval_s, now_s + contenders * interval_s)
-    return max(MIN_PAUSE_S, turn_at_s - now_s)
+    expected_at_s = max(bucket.next_permit_s, bucket.next_expected_s)
+    bucket.next_expected_s = min(
+        expected_at_s + interval_s, now_s + contenders * interval_s
+    )
+    return max(MIN_PAUSE_S, expected_at_s - now_s)
 
 
 def _reply(
@@ -228,13 +232,13 @@
     *,
     granted: int = 0,
     pause_s: float = 0.0,
-    turn_s: float = 0.0,
+    expected_wait_s: float = 0.0,
     share_per_s: float = 0.0,
 ) -> PermitReply:
     return PermitReply(
         granted=granted,
         pause_s=pause_s,
-        turn_s=turn_s,
+        expected_wait_s=expected_wait_s,
         share_per_s=share_per_s,
         limit_per_s=bucket.limit_per_s,
         age_s=now_s - bucket.stated_at_s,
--- a/lentilroad/request/permits.py
+++ b/lentilroad/request/permits.py
@@ -124,7 +124,7 @@
             self._pause(
                 state,
                 pause_s=UNREACHABLE_PAUSE_S,
-                turn_s=UNREACHABLE_PAUSE_S,
+                expected_wait_s=UNREACHABLE_PAUSE_S,
                 reason="no coordinator is reachable",
             )
 
@@ -153,12 +153,17 @@
         self._pause(
             state,
             pause_s=max(MIN_PAUSE_S, reply.pause_s),
-            turn_s=reply.turn_s,
+            expected_wait_s=reply.expected_wait_s,
             reason="limit reached",
         )
 
     def _pause(
-        self, state: UpstreamState, *, pause_s: float, turn_s: float, reason: str
+        self,
+        state: UpstreamState,
+        *,
+        pause_s: float,
+        expected_wait_s: float,
+        reason: str,
     ) -> None:
         log_event(
             "upstream_paused",
@@ -166,8 +171,8 @@
             limit_per_s=state.limit_per_s(),
             share_per_s=state.share_per_s,
             for_ms=int(pause_s * 1000),
-            turn_in_ms=int(turn_s * 1000),
+            permit_in_ms=int(expected_wait_s * 1000),
             reason=reason,
         )
         now_s = self._clock.monotonic_s()
-        state.pause(now_s + pause_s, permit_expected_s=now_s + turn_s)
+        state.pause(now_s + pause_s, permit_expected_s=now_s + expected_wait_s)
--- a/tests/request/test_shared_rate_limits.py
+++ b/tests/request/test_shared_rate_limits.py
@@ -292,14 +292,14 @@
 
 
 def test_raised_limit_is_used_at_once() -> None:
-    """Guard against turns that were assigned at a former, much lower limit."""
+    """Guard against waits that were assigned at a former, much lower limit."""
 
     async def run() -> None:
         worker = _Worker(0, 0.2)
         entry = _Entry("e-0", [worker], _group())
         await entry.request()
         await entry.request()
-        # The next turn at the former limit is five seconds away.
+        # The next permit at the former limit is five seconds away.
         state = entry.directory.find("i-0")
         assert state is not None
         assert not await entry.permits.take(state)
