Log which requests were running on an instance that ended

The logs could not tell whether a lost connection meant an ended process, nor what a request is apart from its attempt id. upstream_lost_runs states, once for each instance, whether it has terminated and the fingerprints (target; target and body) of the requests that ran on it; upstream_crashes counts crashes. Routing is unchanged. Callers' requests that an instance lost are probed once together instead of once each.

--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -36,15 +36,20 @@
         Cause of the failure.
     request_written : bool
         Whether any byte of the request may have reached the server.
+    connection_lost : bool
+        Whether the server, and not this process, ended the connection.
     """
 
     code = "exchange_broken"
     http_status = 502
     default_outcome = "unknown"
 
-    def __init__(self, message: str, *, request_written: bool) -> None:
+    def __init__(
+        self, message: str, *, request_written: bool, connection_lost: bool = False
+    ) -> None:
         super().__init__(message, outcome="unknown" if request_written else "not_run")
         self.request_written = request_written
+        self.connection_lost = connection_lost
 
 
 class ResponseHead:
@@ -106,6 +111,7 @@
         self._response_skipped = False
         self._keep_alive = False
         self._error: str | None = None
+        self._connection_lost = False
         self.closed = False
         # Whether an earlier exchange ended on this connection.
         self.used_before = False
@@ -167,6 +173,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the open exchange."""
+        if not self.closed and (error is None or isinstance(error, ConnectionError)):
+            self._connection_lost = True
         self.closed = True
         if not self._complete:
             self._fail(f"the connection was lost ({error or 'closed by the server'})")
@@ -208,7 +216,7 @@
             self._transport.write(body)
         self._head_waiter = self._loop.create_future()
         if self._error is not None:
-            raise ExchangeBrokenError(self._error, request_written=True)
+            raise self._broken_error(self._error)
         return await self._head_waiter
 
     async def next_chunk(self) -> bytes:
@@ -223,7 +231,7 @@
             if self._complete:
                 return b""
             if self._error is not None:
-                raise ExchangeBrokenError(self._error, request_written=True)
+                raise self._broken_error(self._error)
             self._chunk_waiter = self._loop.create_future()
             await self._chunk_waiter
         data = self._chunks.popleft() if len(self._chunks) == 1 else self._join_chunks()
@@ -336,11 +344,16 @@
         self._error = self._error or message
         waiter = self._head_waiter
         if waiter is not None and not waiter.done():
-            waiter.set_exception(ExchangeBrokenError(self._error, request_written=True))
+            waiter.set_exception(self._broken_error(self._error))
             # Marks the exception as retrieved: the exchange may have been cancelled.
             waiter.exception()
         self._wake_reader()
 
+    def _broken_error(self, message: str) -> ExchangeBrokenError:
+        return ExchangeBrokenError(
+            message, request_written=True, connection_lost=self._connection_lost
+        )
+
     def _wake_reader(self) -> None:
         waiter = self._chunk_waiter
         if waiter is not None and not waiter.done():
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -15,8 +15,9 @@
 from lentilroad.conversation.relay import RelayingCaller
 from lentilroad.conversation.turns import TurnManager
 from lentilroad.errors import ConfigurationError
+from lentilroad.membership.crash_messages import Fingerprint
 from lentilroad.membership.suspicions import SUSPECT, SuspicionReporter
-from lentilroad.membership.upstreams import UpstreamDirectory
+from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
 from lentilroad.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from lentilroad.platform.following import (
     MEMBERS_KEY,
@@ -44,6 +45,7 @@
 from lentilroad.process.run import run_until
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.process.text_server import serve_text
+from lentilroad.request.crash_detection import ReportCrash
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
@@ -124,6 +126,7 @@
         wait_until_ready=wait_until_can_serve,
         on_unresponsive=suspicions.report,
         on_rate_limit=permits.report,
+        report_crash=_count_crash(telemetry),
         table=lambda: state.table,
         decode=decode_request,
         protocol=worker_protocol(),
@@ -212,6 +215,13 @@
     )
 
 
+def _count_crash(telemetry: Telemetry) -> ReportCrash:
+    async def report(state: UpstreamState, runs: list[Fingerprint]) -> None:
+        telemetry.count("upstream_crashes", service=state.instance.service)
+
+    return report
+
+
 async def _sweep_directory(
     directory: UpstreamDirectory, dispatcher: Dispatcher
 ) -> None:
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -28,6 +28,7 @@
 PREVIOUS_TURN = b"lentilroad-previous-turn"
 AFFINITY_COOKIE = "Lentilroad-Affinity-Key"
 COOKIE = b"cookie"
+CREDENTIAL = b"authorization"
 LAST_EVENT_ID = b"last-event-id"
 
 # No valid count or size is longer, and int() raises on very long numbers.
@@ -96,6 +97,7 @@
             and lower not in _RESERVED_HEADERS
             and lower not in connection_options
         ],
+        credential=_decode_text(values.get(CREDENTIAL, b"")),
         deadline_s=_decode_seconds(values.get(DEADLINE)),
         program_id=_decode_text(values.get(PROGRAM_ID, b"")),
         session_id=_decode_text(values.get(SESSION_ID, b"")),
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -25,8 +25,10 @@
     REFUSALS_MAX,
     SERVICE_RETRY_AFTER_MAX_S,
 )
+from lentilroad.request.crash_detection import CrashDetector
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_response
+from lentilroad.request.fingerprints import request_fingerprint
 from lentilroad.request.inbound import ResponseFlags, UpstreamProtocol
 from lentilroad.request.work import PlacementRequest
 
@@ -55,6 +57,8 @@
         Called with an instance that does not respond to requests.
     on_rate_limit : callable
         Called with an instance that stated another rate limit than before.
+    crash_detector : CrashDetector
+        Detects instances that crashed while requests were running on them.
     """
 
     def __init__(
@@ -65,12 +69,14 @@
         clock: Clock,
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
+        crash_detector: CrashDetector,
     ) -> None:
         self._protocol = protocol
         self._dispatcher = dispatcher
         self._clock = clock
         self._on_unresponsive = on_unresponsive
         self._on_rate_limit = on_rate_limit
+        self._crash_detector = crash_detector
 
     async def run(
         self,
@@ -105,6 +111,11 @@
                     raise
             except ExchangeBrokenError as error:
                 state.record_outcome(failed=True)
+                exchange.termination_probe = None
+                if error.connection_lost:
+                    exchange.termination_probe = self._crash_detector.record_lost_run(
+                        state, request_fingerprint(exchange.inbound)
+                    )
                 if error.request_written:
                     await self._check_may_resend(exchange, state, error)
                 else:
@@ -141,7 +152,7 @@
         """Return if a request that may have run may be sent again; raise otherwise."""
         if exchange.remaining_sends() > 0:
             return
-        if exchange.route.repeatable() and await self._has_terminated(state):
+        if exchange.route.repeatable() and await _has_terminated(exchange, state):
             exchange.ended_runs += 1
             log_event(
                 "upstream_ended",
@@ -154,11 +165,6 @@
             outcome="unknown",
         ) from error
 
-    async def _has_terminated(self, state: UpstreamState) -> bool:
-        return state.removed or await refuses_connections(
-            state.instance.address, timeout_s=PROCESS_PROBE_TIMEOUT_S
-        )
-
     async def _send(
         self,
         exchange: Exchange,
@@ -333,5 +339,17 @@
         )
 
 
+async def _has_terminated(exchange: Exchange, state: UpstreamState) -> bool:
+    """Return whether the process that ran the request has ended."""
+    if state.removed:
+        return True
+    if exchange.termination_probe is not None:
+        # Shielded: other requests wait for the same probe.
+        return await asyncio.shield(exchange.termination_probe)
+    return await refuses_connections(
+        state.instance.address, timeout_s=PROCESS_PROBE_TIMEOUT_S
+    )
+
+
 def _exclusion_s(state: UpstreamState) -> float:
     return min(EXCLUDE_MAX_S, EXCLUDE_AFTER_FAILURE_S * 2**state.failures)
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -42,6 +43,9 @@
         Attempts that an instance refused as not run or that could not connect.
     acquired_instance : UpstreamState or None
         Instance of which a slot is acquired.
+    termination_probe : asyncio.Task of bool or None
+        Tells whether the instance that lost the connection of the last run has
+        terminated; None if no connection was lost.
     response_started : bool
         Whether a response was started; no other response may be written after it.
     after_event : str
@@ -62,6 +66,7 @@
     refusals: int = 0
     instance_id: str = ""
     acquired_instance: UpstreamState | None = None
+    termination_probe: asyncio.Task[bool] | None = None
     response_started: bool = False
     after_event: str = ""
 
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -18,6 +18,8 @@
         Path and query as received.
     forwarded_headers : list of (bytes, bytes)
         Headers that are forwarded to the upstream.
+    credential : str
+        Credential by which the platform tells customers apart; empty for none.
     deadline_s : float or None
         Seconds until the caller gives up; None if not stated.
     finish_s : float or None
@@ -38,6 +40,7 @@
     host: str
     forwarded_headers: list[Header]
     body: bytes = b""
+    credential: str = ""
     deadline_s: float | None = None
     program_id: str = ""
     session_id: str = ""
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -11,7 +11,12 @@
 from lentilroad.clock import SystemClock
 from lentilroad.connection.listener import open_listener
 from lentilroad.conversation.turns import TurnManager
-from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
+from lentilroad.membership.crash_messages import Fingerprint
+from lentilroad.membership.upstreams import (
+    UpstreamDirectory,
+    UpstreamInstance,
+    UpstreamState,
+)
 from lentilroad.platform.requests import decode_request, worker_protocol
 from lentilroad.process.gateway import GatewayState, serve_callers
 from lentilroad.process.telemetry import Telemetry
@@ -41,6 +46,10 @@
     """Return at once, as after a completed start."""
 
 
+async def ignore_crash(state: UpstreamState, runs: list[Fingerprint]) -> None:
+    """Ignore that an instance crashed."""
+
+
 def instance(number: int, address: str, **fields) -> UpstreamInstance:
     """Return an instance with the id ``i-<number>``."""
     return UpstreamInstance(
@@ -88,6 +97,7 @@
         wait_until_ready=fields.get("wait_until_ready", ready_at_once),
         on_unresponsive=fields.get("on_unresponsive", lambda state: None),
         on_rate_limit=permits.report,
+        report_crash=fields.get("report_crash", ignore_crash),
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
