Ban requests that crash the instances that run them

Entries now report the requests that an instance lost to two coordinators, storage members as for rate limits. Each of them is a suspect until it succeeds: it runs once at a time in the whole system, with no other suspect on its instance, and after two crashes only while few instances are down. It is banned after three crashes if no other request of the last one was in two, unless instances crash as often without a known cause. Entries pass new suspects and bans on to each other, and teach them to a coordinator that restarts. Why it works: the cause is in every crash and never succeeds, the requests beside it are cleared by their next run or by the ban.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -51,11 +51,15 @@
     TurnRecord,
 )
 from lentilroad.errors import LentilroadError, NotFoundError, UnavailableError
+from lentilroad.membership.crash_causes import CRASH_COORDINATORS
 from lentilroad.membership.rendezvous import score
 from lentilroad.process.events import log_event
 
 Call = Callable[..., Awaitable[Any]]
 
+# Ranks the members that coordinate the crashes of all services.
+CRASH_COORDINATION_KEY = "crashes"
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Location:
@@ -121,6 +125,10 @@
         ranked = rank_coordinators(self._member_map.member_list, key, availability_zone)
         return [member.address for member in ranked]
 
+    def crash_coordinators(self) -> list[str]:
+        """Return the addresses of the members that coordinate crashes, in order."""
+        return self.coordinators(CRASH_COORDINATION_KEY, "")[:CRASH_COORDINATORS]
+
     async def probe_failed_members(self) -> None:
         """Probe the members that failed a call or refused a write."""
         members = self._member_map.member_list.members
--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -36,6 +36,12 @@
     RelayRequest,
 )
 from lentilroad.errors import LentilroadError, UnavailableError
+from lentilroad.membership.crash_messages import (
+    ACQUIRE_TRIAL,
+    END_TRIAL,
+    REPORT_CRASH,
+    SHARE_SUSPECTS,
+)
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS
 from lentilroad.process.events import log_event
 from lentilroad.wire.services import Method
@@ -44,7 +50,17 @@
 
 _RELAYED = {
     method.path: method
-    for method in (ACQUIRE_PERMITS, PROBE, PUT_TURNS, READ_CHAIN, RESERVE)
+    for method in (
+        ACQUIRE_PERMITS,
+        ACQUIRE_TRIAL,
+        END_TRIAL,
+        PROBE,
+        PUT_TURNS,
+        READ_CHAIN,
+        REPORT_CRASH,
+        RESERVE,
+        SHARE_SUSPECTS,
+    )
 }
 
 
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -15,9 +15,9 @@
 from lentilroad.conversation.relay import RelayingCaller
 from lentilroad.conversation.turns import TurnManager
 from lentilroad.errors import ConfigurationError
-from lentilroad.membership.crash_messages import Fingerprint
+from lentilroad.membership.crash_messages import SHARE_SUSPECTS
 from lentilroad.membership.suspicions import SUSPECT, SuspicionReporter
-from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
+from lentilroad.membership.upstreams import UpstreamDirectory
 from lentilroad.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from lentilroad.platform.following import (
     MEMBERS_KEY,
@@ -45,14 +45,15 @@
 from lentilroad.process.run import run_until
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.process.text_server import serve_text
-from lentilroad.request.crash_detection import ReportCrash
+from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
 
 SWEEP_INTERVAL_S = 0.25
 # After a start, requests wait until the process has read the configuration, the list of
-# instances and, for turns, the list of storage members, which may be starting as well.
+# instances, the requests that are banned and, for turns, the list of storage members,
+# which may be starting as well.
 # The wait ends this long after the start, and after a shorter time for each request.
 STARTUP_WAIT_S = 2.0
 MAX_STARTUP_REQUEST_WAIT_S = 1.0
@@ -100,6 +101,14 @@
         region_of=lambda zone: settings.zone_regions.get(zone, zone),
         take_permit=permits.take,
     )
+    suspects = CrashSuspects(
+        call=relayed_calls.call,
+        coordinators=storage.crash_coordinators,
+        entries=relayed_calls.entries,
+        own_address=own_address,
+        directory=directory,
+        clock=clock,
+    )
     grant_manager = GrantManager(
         reserve=storage.reserve, confirm=storage.confirm, clock=clock
     )
@@ -116,7 +125,9 @@
         deadline_s = min(
             startup_deadline_s, clock.monotonic_s() + MAX_STARTUP_REQUEST_WAIT_S
         )
-        while not can_serve(turns=turns) and clock.monotonic_s() < deadline_s:
+        while clock.monotonic_s() < deadline_s:
+            if can_serve(turns=turns) and suspects.synchronized:
+                return
             await clock.sleep(STARTUP_POLL_INTERVAL_S)
 
     suspicions = SuspicionReporter(
@@ -126,7 +137,7 @@
         wait_until_ready=wait_until_can_serve,
         on_unresponsive=suspicions.report,
         on_rate_limit=permits.report,
-        report_crash=_count_crash(telemetry),
+        suspects=suspects,
         table=lambda: state.table,
         decode=decode_request,
         protocol=worker_protocol(),
@@ -140,6 +151,9 @@
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
+    telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
+    telemetry.add_gauge("suspected_requests", suspects.suspected_count)
+    telemetry.add_gauge("banned_requests", suspects.banned_count)
 
     def readiness() -> tuple[int, str]:
         if can_serve(turns=True) and not state.stopping:
@@ -147,7 +161,11 @@
         return 503, "not ready"
 
     await start_server(
-        {RELAY: relayed_calls.serve, SUSPECT: suspicions.receive},
+        {
+            RELAY: relayed_calls.serve,
+            SUSPECT: suspicions.receive,
+            SHARE_SUSPECTS: suspects.receive,
+        },
         settings.ip,
         settings.peer_port,
     )
@@ -194,6 +212,7 @@
             relayed_calls.probe_unresponsive, MEMBER_PROBE_INTERVAL_S, clock
         ),
         relayed_calls.announce_regularly(storage.addresses),
+        suspects.synchronize_regularly(),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
@@ -215,13 +234,6 @@
     )
 
 
-def _count_crash(telemetry: Telemetry) -> ReportCrash:
-    async def report(state: UpstreamState, runs: list[Fingerprint]) -> None:
-        telemetry.count("upstream_crashes", service=state.instance.service)
-
-    return report
-
-
 async def _sweep_directory(
     directory: UpstreamDirectory, dispatcher: Dispatcher
 ) -> None:
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -40,6 +40,13 @@
 from lentilroad.conversation.relay import EntryRegistry
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import ConfigurationError, LentilroadError
+from lentilroad.membership.crash_causes import CrashCoordinator
+from lentilroad.membership.crash_messages import (
+    ACQUIRE_TRIAL,
+    END_TRIAL,
+    REPORT_CRASH,
+    SHARE_SUSPECTS,
+)
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS, RateLimitCoordinator
 from lentilroad.platform.configuration import RETIRE_PREFIX, RETIRE_STATUS_PREFIX
 from lentilroad.platform.following import (
@@ -106,6 +113,7 @@
             current_map.member_list, disk_id, instance_id, zone
         ),
     )
+    crashes = CrashCoordinator(clock=clock)
     address = f"{settings.ip}:{settings.peer_port}"
     joining = StorageMembership(
         member=Member(
@@ -136,6 +144,10 @@
             PROBE: replica.probe,
             ANNOUNCE: EntryRegistry(clock=clock).announce,
             ACQUIRE_PERMITS: rate_limits.acquire,
+            REPORT_CRASH: crashes.report,
+            ACQUIRE_TRIAL: crashes.acquire_trial,
+            END_TRIAL: crashes.end_trial,
+            SHARE_SUSPECTS: crashes.share,
         },
         settings.ip,
         settings.peer_port,
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -26,10 +26,12 @@
     SERVICE_RETRY_AFTER_MAX_S,
 )
 from lentilroad.request.crash_detection import CrashDetector
+from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_response
-from lentilroad.request.fingerprints import request_fingerprint
+from lentilroad.request.fingerprints import target_digest
 from lentilroad.request.inbound import ResponseFlags, UpstreamProtocol
+from lentilroad.request.trials import InstanceSelector
 from lentilroad.request.work import PlacementRequest
 
 T = TypeVar("T")
@@ -57,8 +59,8 @@
         Called with an instance that does not respond to requests.
     on_rate_limit : callable
         Called with an instance that stated another rate limit than before.
-    crash_detector : CrashDetector
-        Detects instances that crashed while requests were running on them.
+    suspects : CrashSuspects
+        Requests that may crash the instances that run them.
     """
 
     def __init__(
@@ -69,14 +71,18 @@
         clock: Clock,
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
-        crash_detector: CrashDetector,
+        suspects: CrashSuspects,
     ) -> None:
         self._protocol = protocol
         self._dispatcher = dispatcher
         self._clock = clock
         self._on_unresponsive = on_unresponsive
         self._on_rate_limit = on_rate_limit
-        self._crash_detector = crash_detector
+        self._suspects = suspects
+        self._crash_detector = CrashDetector(report=suspects.report_crash)
+        self._selector = InstanceSelector(
+            dispatcher=dispatcher, suspects=suspects, clock=clock
+        )
 
     async def run(
         self,
@@ -96,25 +102,26 @@
             allow sending it again.
         """
         while True:
-            placement.remaining_s = exchange.wait_until_s() - self._clock.monotonic_s()
-            state = await self._dispatcher.acquire(placement)
+            state = await self._selector.acquire(exchange, placement)
             exchange.acquired_instance = state
+            exchange.termination_probe = None
             can_fail_over = (
                 exchange.remaining_sends() > 1
                 and self._dispatcher.has_alternative(placement, state)
             )
             try:
-                return await self._send(exchange, state, body, read, can_fail_over)
+                response = await self._send(exchange, state, body, read, can_fail_over)
+                self._record_success(exchange, state)
+                return response
             except NotExecutedError:
                 exchange.refusals += 1
                 if exchange.refusals > REFUSALS_MAX:
                     raise
             except ExchangeBrokenError as error:
                 state.record_outcome(failed=True)
-                exchange.termination_probe = None
                 if error.connection_lost:
                     exchange.termination_probe = self._crash_detector.record_lost_run(
-                        state, request_fingerprint(exchange.inbound)
+                        state, exchange.fingerprint()
                     )
                 if error.request_written:
                     await self._check_may_resend(exchange, state, error)
@@ -125,6 +132,7 @@
                 if exchange.remaining_sends() <= 0:
                     raise
             finally:
+                self._end_trial(exchange, state)
                 self.release(exchange)
             placement.excluded.add(state.instance.instance_id)
 
@@ -134,6 +142,20 @@
             self._dispatcher.release(exchange.acquired_instance)
             exchange.acquired_instance = None
 
+    def _record_success(self, exchange: Exchange, state: UpstreamState) -> None:
+        """Record that the instance has completed the response."""
+        self._suspects.record_success(
+            target_digest(exchange.inbound), exchange.fingerprint, state
+        )
+
+    def _end_trial(self, exchange: Exchange, state: UpstreamState) -> None:
+        if not exchange.on_trial:
+            return
+        exchange.on_trial = False
+        self._suspects.record_trial_end(
+            exchange.fingerprint(), state, exchange.termination_probe
+        )
+
     def _handle_unreachable(
         self, exchange: Exchange, state: UpstreamState, error: ExchangeBrokenError
     ) -> None:
@@ -151,9 +173,15 @@
     ) -> None:
         """Return if a request that may have run may be sent again; raise otherwise."""
         if exchange.remaining_sends() > 0:
+            # The crash must be known before the request is sent again.
+            if exchange.termination_probe is not None and await asyncio.shield(
+                exchange.termination_probe
+            ):
+                exchange.crashed_runs += 1
             return
         if exchange.route.repeatable() and await _has_terminated(exchange, state):
             exchange.ended_runs += 1
+            exchange.crashed_runs += 1
             log_event(
                 "upstream_ended",
                 request=exchange.inbound.request_id,
--- /dev/null
+++ b/lentilroad/request/crash_suspects.py
@@ -0,0 +1,444 @@
+"""Suspects and bans that an entry knows, and its calls to the crash coordinators."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from lentilroad.clock import Clock
+from lentilroad.errors import LentilroadError
+from lentilroad.membership.crash_messages import (
+    ACQUIRE_TRIAL,
+    END_TRIAL,
+    REPORT_CRASH,
+    SHARE_SUSPECTS,
+    CrashReport,
+    Fingerprint,
+    Suspect,
+    SuspectList,
+    TrialDecision,
+    TrialEnd,
+    TrialReply,
+    TrialRequest,
+)
+from lentilroad.membership.suspicions import REPORT_FANOUT
+from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
+from lentilroad.process.events import log_event
+
+CALL_TIMEOUT_S = 0.25
+# A coordinator that did not answer is asked last for this long.
+COORDINATOR_RETRY_S = 1.0
+# Entries that an entry tells of new suspects that it has heard of from another entry.
+FORWARD_FANOUT = 8
+# Interval in which an entry fetches the suspects from a coordinator, in a small group
+# of entries; a coordinator accepts about this many of these calls per second.
+SYNC_INTERVAL_S = 2.0
+MAX_SYNCS_PER_S = 20.0
+# Time after which a started entry tries again to reach a coordinator.
+SYNC_RETRY_S = 0.05
+# A suspect is forgotten this long after an entry last heard of it.
+SUSPECT_EXPIRY_S = 600.0
+MAX_SUSPECTS = 512
+# A target to which a request succeeded in this time does not cause crashes by itself.
+SUCCESS_MEMORY_S = 60.0
+MAX_SUCCEEDED_TARGETS = 4096
+MAX_UNREPORTED_CRASHES = 16
+
+
+class BannedRequestError(LentilroadError):
+    """The request has crashed the instances that ran it; change it."""
+
+    code = "crashes_instances"
+    http_status = 503
+
+
+@dataclass(slots=True, kw_only=True)
+class _Known:
+    """What this entry knows of a suspect.
+
+    Attributes
+    ----------
+    confirmed_s : float
+        Monotonic time at which a coordinator last stated it.
+    banned_until_s, expires_s : float
+        Monotonic times.
+    """
+
+    banned_until_s: float
+    bans: int
+    crashes: int
+    confirmed_s: float
+    expires_s: float
+
+
+class CrashSuspects:
+    """Suspects known to this entry, shared with the other entries.
+
+    Parameters
+    ----------
+    call : callable
+        Calls to peers; see `lentilroad.connection.peers.PeerConnections.call`.
+    coordinators : callable
+        Returns the addresses of the crash coordinators, in the order in which all
+        entries ask them.
+    entries : callable
+        Returns the addresses of the other entries.
+    own_address : str
+        Address of this entry.
+    directory : UpstreamDirectory
+        Known instances.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Callable[..., Awaitable[Any]],
+        coordinators: Callable[[], list[str]],
+        entries: Callable[[], list[str]],
+        own_address: str,
+        directory: UpstreamDirectory,
+        clock: Clock,
+    ) -> None:
+        self._call = call
+        self._coordinators = coordinators
+        self._entries = entries
+        self._own_address = own_address
+        self._directory = directory
+        self._clock = clock
+        self._random = random.Random()
+        self._known: OrderedDict[bytes, _Known] = OrderedDict()
+        # Monotonic time of the last success, by target.
+        self._succeeded_s: OrderedDict[bytes, float] = OrderedDict()
+        self._failed_until_s: dict[str, float] = {}
+        self.reported_crashes = 0
+        # Whether the bans of the other entries were read once.
+        self.synchronized = False
+        self._unreported: list[CrashReport] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def suspected_count(self) -> int:
+        """Return the number of known suspects that are not banned."""
+        return len(self._known) - self.banned_count()
+
+    def banned_count(self) -> int:
+        """Return the number of banned requests."""
+        now_s = self._clock.monotonic_s()
+        return sum(1 for known in self._known.values() if known.banned_until_s > now_s)
+
+    def has_suspects(self) -> bool:
+        """Return whether any suspect is known."""
+        return bool(self._known)
+
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request must not be sent without a trial.
+
+        Raises
+        ------
+        BannedRequestError
+            The request must not be sent at all.
+        """
+        found = False
+        now_s = self._clock.monotonic_s()
+        for key in fingerprint.digests():
+            known = self._known.get(key)
+            if known is None:
+                continue
+            if known.banned_until_s > now_s:
+                raise BannedRequestError(
+                    "this request has crashed every instance that ran it; change the "
+                    "request, or send it again after the stated time",
+                    retry_after_ms=int(1000 * (known.banned_until_s - now_s)),
+                )
+            if known.expires_s > now_s:
+                found = True
+            else:
+                del self._known[key]
+        return found
+
+    def crash_count(self, fingerprint: Fingerprint) -> int:
+        """Return the number of crashes that are known to count against a request."""
+        return max(
+            self._known[key].crashes if key in self._known else 0
+            for key in fingerprint.digests()
+        )
+
+    async def acquire_trial(
+        self, fingerprint: Fingerprint, state: UpstreamState, lease_s: float
+    ) -> TrialReply | None:
+        """Ask a coordinator whether a suspect may run on an instance.
+
+        Returns
+        -------
+        TrialReply or None
+            None if no coordinator is reachable.
+        """
+        instance = state.instance
+        now_s = self._clock.monotonic_s()
+        known_s = (
+            self._known[key].confirmed_s
+            for key in fingerprint.digests()
+            if key in self._known
+        )
+        request = TrialRequest(
+            fingerprint=fingerprint,
+            instance_id=instance.instance_id,
+            started_ms=instance.started_ms,
+            service=instance.service,
+            instances=len(self._directory.instances(instance.service)),
+            entry=self._own_address,
+            lease_s=lease_s,
+            known_crashes=self.crash_count(fingerprint),
+            known_for_s=now_s - max(known_s, default=now_s),
+        )
+        for coordinator in self._ranked_coordinators():
+            reply = await self._try_call(coordinator, ACQUIRE_TRIAL, request)
+            if reply is None:
+                continue
+            if reply.decision is TrialDecision.CLEARED:
+                self._forget(fingerprint)
+            self._merge(reply.suspects, fanout=REPORT_FANOUT)
+            return reply
+        return None
+
+    async def report_crash(self, state: UpstreamState, runs: list[Fingerprint]) -> None:
+        """Report the requests that ran on a crashed instance; see `CrashDetector`."""
+        instance = state.instance
+        report = CrashReport(
+            service=instance.service,
+            instance_id=instance.instance_id,
+            started_ms=instance.started_ms,
+            instances=len(self._directory.instances(instance.service)),
+            runs=[blamed for run in runs if (blamed := self._blamed(run)).digests()],
+            bans=self._bans(),
+        )
+        self.reported_crashes += 1
+        await self._send_report(report)
+
+    def record_trial_end(
+        self,
+        fingerprint: Fingerprint,
+        state: UpstreamState,
+        termination_probe: asyncio.Task[bool] | None = None,
+    ) -> None:
+        """Report in the background that a trial ended without a success.
+
+        Parameters
+        ----------
+        termination_probe : asyncio.Task of bool, optional
+            Task that reports the crash if there was one; the trial ends after it.
+        """
+
+        async def send() -> None:
+            if termination_probe is not None:
+                await asyncio.shield(termination_probe)
+            await self._send_end(_trial_end(fingerprint, state, succeeded=False))
+
+        self._start(send())
+
+    def record_success(
+        self,
+        target: bytes,
+        fingerprint: Callable[[], Fingerprint],
+        state: UpstreamState,
+    ) -> None:
+        """Record that an instance completed the response to a request.
+
+        Parameters
+        ----------
+        target : bytes
+            Target of the request's fingerprint.
+        fingerprint : callable
+            Returns the fingerprint, which is needed only if suspects are known.
+        """
+        self._succeeded_s[target] = self._clock.monotonic_s()
+        self._succeeded_s.move_to_end(target)
+        if len(self._succeeded_s) > MAX_SUCCEEDED_TARGETS:
+            self._succeeded_s.popitem(last=False)
+        if not self._known:
+            return
+        suspect = fingerprint()
+        if not any(key in self._known for key in suspect.digests()):
+            return
+        self._forget(suspect)
+        self._start(self._send_end(_trial_end(suspect, state, succeeded=True)))
+
+    async def receive(self, request: SuspectList) -> SuspectList:
+        """Handle `SHARE_SUSPECTS` of another entry."""
+        self._merge(request.suspects, fanout=FORWARD_FANOUT)
+        return SuspectList(suspects=[])
+
+    async def synchronize_regularly(self) -> None:
+        """Exchange bans with a coordinator, at the start and regularly."""
+        while not await self.synchronize():
+            await self._clock.sleep(SYNC_RETRY_S)
+        while True:
+            entries = len(self._entries())
+            await self._clock.sleep(max(SYNC_INTERVAL_S, entries / MAX_SYNCS_PER_S))
+            await self.synchronize()
+
+    async def synchronize(self) -> bool:
+        """Exchange bans with a coordinator; return whether one replied."""
+        unreported, self._unreported = self._unreported, []
+        for report in unreported:
+            await self._send_report(report)
+        request = SuspectList(suspects=self._bans())
+        for coordinator in self._ranked_coordinators():
+            reply = await self._try_call(coordinator, SHARE_SUSPECTS, request)
+            if reply is not None:
+                self._merge(reply.suspects, fanout=0)
+                self.synchronized = True
+                return True
+        return False
+
+    async def _send_report(self, report: CrashReport) -> None:
+        # Both coordinators collect the evidence, so that either may decide.
+        replies = await asyncio.gather(
+            *(
+                self._try_call(coordinator, REPORT_CRASH, report)
+                for coordinator in self._coordinators()
+            )
+        )
+        if all(reply is None for reply in replies):
+            self._unreported = [*self._unreported, report][-MAX_UNREPORTED_CRASHES:]
+        for reply in replies:
+            if reply is not None:
+                self._merge(reply.suspects, fanout=REPORT_FANOUT)
+
+    async def _send_end(self, end: TrialEnd) -> None:
+        await asyncio.gather(
+            *(
+                self._try_call(coordinator, END_TRIAL, end)
+                for coordinator in self._coordinators()
+            )
+        )
+
+    def _ranked_coordinators(self) -> list[str]:
+        """Return the coordinators, those that did not answer last."""
+        now_s = self._clock.monotonic_s()
+        return sorted(
+            self._coordinators(),
+            key=lambda address: self._failed_until_s.get(address, 0.0) > now_s,
+        )
+
+    async def _try_call(self, address: str, method: Any, request: Any) -> Any:
+        """Return the reply, or None if there is none."""
+        try:
+            return await self._call(address, method, request, timeout_s=CALL_TIMEOUT_S)
+        except (LentilroadError, TimeoutError) as error:
+            self._failed_until_s[address] = (
+                self._clock.monotonic_s() + COORDINATOR_RETRY_S
+            )
+            log_event(
+                "crash_coordinator_lost",
+                coordinator=address,
+                call=method.path,
+                error=str(error) or type(error).__name__,
+            )
+            return None
+
+    def _blamed(self, run: Fingerprint) -> Fingerprint:
+        """Return the digests of a request to which no success is known."""
+        if not self._has_succeeded(run.target):
+            return run
+        return Fingerprint(target=b"", content=run.content)
+
+    def _has_succeeded(self, target: bytes) -> bool:
+        succeeded_s = self._succeeded_s.get(target, float("-inf"))
+        return self._clock.monotonic_s() - succeeded_s <= SUCCESS_MEMORY_S
+
+    def _bans(self) -> list[Suspect]:
+        now_s = self._clock.monotonic_s()
+        return [
+            Suspect(
+                key=key,
+                crashes=known.crashes,
+                banned_for_s=max(0.0, known.banned_until_s - now_s),
+                bans=known.bans,
+            )
+            for key, known in self._known.items()
+            if known.bans > 0
+        ]
+
+    def _merge(self, suspects: list[Suspect], *, fanout: int) -> None:
+        """Adopt suspects, and tell other entries of those that are new."""
+        now_s = self._clock.monotonic_s()
+        new = []
+        for suspect in suspects:
+            if suspect.bans == 0 and self._has_succeeded(suspect.key):
+                self._clear_target(suspect.key)
+                continue
+            known = self._known.get(suspect.key)
+            if known is None or (known.bans, known.crashes) < (
+                suspect.bans,
+                suspect.crashes,
+            ):
+                new.append(suspect)
+                self._known[suspect.key] = known = _Known(
+                    banned_until_s=now_s + suspect.banned_for_s,
+                    bans=suspect.bans,
+                    crashes=suspect.crashes,
+                    confirmed_s=now_s,
+                    expires_s=0.0,
+                )
+            known.confirmed_s = now_s
+            known.expires_s = max(known.banned_until_s, now_s) + SUSPECT_EXPIRY_S
+        while len(self._known) > MAX_SUSPECTS:
+            self._known.popitem(last=False)
+        if not new:
+            return
+        log_event(
+            "crash_suspects_learned",
+            keys=[suspect.key.hex() for suspect in new],
+            banned_for_s=[round(suspect.banned_for_s, 3) for suspect in new],
+        )
+        entries = self._entries()
+        receivers = self._random.sample(entries, min(fanout, len(entries)))
+        for receiver in receivers:
+            self._start(self._share(receiver, SuspectList(suspects=new)))
+
+    async def _share(self, receiver: str, suspects: SuspectList) -> None:
+        try:
+            await self._call(
+                receiver, SHARE_SUSPECTS, suspects, timeout_s=CALL_TIMEOUT_S
+            )
+        except (LentilroadError, TimeoutError) as error:
+            # The entry learns them when it synchronizes.
+            log_event("crash_suspects_not_shared", entry=receiver, error=str(error))
+
+    def _clear_target(self, target: bytes) -> None:
+        """Tell the coordinators that requests to a suspected target succeed here."""
+        end = TrialEnd(
+            fingerprint=Fingerprint(target=target, content=b""),
+            instance_id="",
+            started_ms=0,
+            succeeded=True,
+        )
+        self._start(self._send_end(end))
+
+    def _forget(self, fingerprint: Fingerprint) -> None:
+        for key in fingerprint.digests():
+            known = self._known.get(key)
+            if known is not None and known.banned_until_s <= self._clock.monotonic_s():
+                del self._known[key]
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _trial_end(
+    fingerprint: Fingerprint, state: UpstreamState, *, succeeded: bool
+) -> TrialEnd:
+    return TrialEnd(
+        fingerprint=fingerprint,
+        instance_id=state.instance.instance_id,
+        started_ms=state.instance.started_ms,
+        succeeded=succeeded,
+    )
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -9,8 +9,10 @@
 
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.errors import LentilroadError, UpstreamError
+from lentilroad.membership.crash_messages import Fingerprint
 from lentilroad.membership.upstreams import UpstreamState
 from lentilroad.request.const import ANSWER_MAX_BYTES, FIRST_EVENT_MARGIN_S
+from lentilroad.request.fingerprints import request_fingerprint
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
 from lentilroad.version.routes import Route, RouteKind
 
@@ -46,6 +48,10 @@
     termination_probe : asyncio.Task of bool or None
         Tells whether the instance that lost the connection of the last run has
         terminated; None if no connection was lost.
+    crashed_runs : int
+        Runs whose instance terminated before they were complete.
+    on_trial : bool
+        Whether the current run is the trial of a suspect.
     response_started : bool
         Whether a response was started; no other response may be written after it.
     after_event : str
@@ -67,6 +73,9 @@
     instance_id: str = ""
     acquired_instance: UpstreamState | None = None
     termination_probe: asyncio.Task[bool] | None = None
+    crashed_runs: int = 0
+    on_trial: bool = False
+    known_fingerprint: Fingerprint | None = None
     response_started: bool = False
     after_event: str = ""
 
@@ -80,6 +89,12 @@
         abandoned_at_s = self.began_s + self.route.abandon_after_gap_s()
         return min(self.deadline_at_s, abandoned_at_s - FIRST_EVENT_MARGIN_S)
 
+    def fingerprint(self) -> Fingerprint:
+        """Return the fingerprint of the request."""
+        if self.known_fingerprint is None:
+            self.known_fingerprint = request_fingerprint(self.inbound)
+        return self.known_fingerprint
+
     def remaining_sends(self) -> int:
         """Return how many more times the request may be sent."""
         if not self.route.repeatable():
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -31,7 +31,7 @@
     DEADLINE_MARGIN_S,
     SERVICE_RETRY_AFTER_MAX_S,
 )
-from lentilroad.request.crash_detection import CrashDetector, ReportCrash
+from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import BufferedResponse, Exchange, read_response
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
@@ -81,8 +81,8 @@
         Called with an instance that does not respond to requests.
     on_rate_limit : callable
         Called with an instance that stated another rate limit than before.
-    report_crash : callable
-        Receives a crashed instance and the requests that were running on it.
+    suspects : CrashSuspects
+        Requests that may crash the instances that run them.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         wait_until_ready: WaitUntilReady,
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
-        report_crash: ReportCrash,
+        suspects: CrashSuspects,
     ) -> None:
         self._table = table
         self._decode = decode
@@ -111,7 +111,7 @@
             clock=clock,
             on_unresponsive=on_unresponsive,
             on_rate_limit=on_rate_limit,
-            crash_detector=CrashDetector(report=report_crash),
+            suspects=suspects,
         )
         self._turns = turns
         self._clock = clock
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -11,18 +11,14 @@
 from lentilroad.clock import SystemClock
 from lentilroad.connection.listener import open_listener
 from lentilroad.conversation.turns import TurnManager
-from lentilroad.membership.crash_messages import Fingerprint
-from lentilroad.membership.upstreams import (
-    UpstreamDirectory,
-    UpstreamInstance,
-    UpstreamState,
-)
+from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
 from lentilroad.platform.requests import decode_request, worker_protocol
 from lentilroad.process.gateway import GatewayState, serve_callers
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.version.routes import ClientLimits, Route, RouteTable, Service
+from tests.fakes.crashes import CrashCoordinatorGroup
 from tests.fakes.permits import CoordinatorGroup
 
 ATTEMPT_ID = "Lentilroad-Attempt-Id"
@@ -46,10 +42,6 @@
     """Return at once, as after a completed start."""
 
 
-async def ignore_crash(state: UpstreamState, runs: list[Fingerprint]) -> None:
-    """Ignore that an instance crashed."""
-
-
 def instance(number: int, address: str, **fields) -> UpstreamInstance:
     """Return an instance with the id ``i-<number>``."""
     return UpstreamInstance(
@@ -76,6 +68,8 @@
     permits = fields.get("permits")
     if permits is None:
         permits = CoordinatorGroup(clock=clock).client("entry")
+    crashes = fields.get("crashes") or CrashCoordinatorGroup(clock=clock)
+    suspects = crashes.entry(fields.get("address", "entry"), directory)
     turns = fields.get("turns") or TurnManager(storage=None, grant_manager=None)
     ingress = Ingress(
         table=lambda: state.table,
@@ -97,7 +91,7 @@
         wait_until_ready=fields.get("wait_until_ready", ready_at_once),
         on_unresponsive=fields.get("on_unresponsive", lambda state: None),
         on_rate_limit=permits.report,
-        report_crash=fields.get("report_crash", ignore_crash),
+        suspects=suspects,
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
@@ -112,5 +106,6 @@
             runner=runner,
             clock=clock,
             directory=directory,
+            suspects=suspects,
         )
     await runner.cleanup()
--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -4,15 +4,18 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from types import SimpleNamespace
 
 import aiohttp
 import pytest
 
+from lentilroad.clock import SystemClock
 from lentilroad.version.routes import Route, RouteKind
+from tests.fakes.crashes import CrashCoordinatorGroup
 from tests.fakes.crashing_fleet import CrashingFleet
-from tests.fakes.gateway import ATTEMPT_ID, route_table, serving_gateway
+from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
+from tests.fakes.raw_server import RawRequest, raw_server
 
 DEADLY = b"deadly"
 INSTANCES = 6
@@ -94,3 +97,139 @@
             await asyncio.sleep(0.05)
         await asyncio.gather(*sends)
     assert fleet.crashes <= 3 + RETRIES
+
+
+def _crashes_on_deadly(target: bytes, body: bytes) -> bool:
+    return body == DEADLY
+
+
+async def _send_until_banned(entry: SimpleNamespace, kind: str = "idempotent") -> None:
+    for number in range(60):
+        await _send(entry.session, number, f"/{kind}/deadly", DEADLY)
+        if entry.suspects.banned_count():
+            return
+        await asyncio.sleep(0.25)
+    pytest.fail("the request was not banned")
+
+
+@asynccontextmanager
+async def _entries(fleet: CrashingFleet, count: int):
+    """Run entries that share coordinators; yield them and the coordinators."""
+    group = CrashCoordinatorGroup(clock=SystemClock())
+    async with AsyncExitStack() as stack:
+        entries = [
+            await stack.enter_async_context(
+                _entry(fleet, crashes=group, address=f"entry-{number}")
+            )
+            for number in range(count)
+        ]
+        yield entries, group
+
+
+async def test_ban_holds_at_all_entries_and_after_restarts() -> None:
+    """Guard against a request that each entry has to learn about by itself."""
+    async with (
+        _fleet(_crashes_on_deadly) as fleet,
+        _entries(fleet, 3) as (entries, group),
+    ):
+        await _send_until_banned(entries[0])
+        crashes = fleet.crashes
+        for entry in entries:
+            assert await _send(entry.session, 0, "/idempotent/deadly", DEADLY) == 503
+        # Coordinators that restart learn the ban from the entries, and a restarted
+        # entry learns it from them.
+        for coordinator in ("c-0", "c-1"):
+            group.restart(coordinator)
+        await entries[1].suspects.synchronize()
+        restarted = group.entry("entry-2", entries[2].directory)
+        await restarted.synchronize()
+        assert restarted.banned_count() > 0
+        assert fleet.crashes == crashes <= 3 + RETRIES
+
+
+async def test_refusal_of_a_banned_request_comes_at_once_with_its_end() -> None:
+    """Guard against callers that hammer a request that cannot be served."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+        await _send_until_banned(entry)
+        headers = {"Host": "h.example", ATTEMPT_ID: "a"}
+        began_s = asyncio.get_running_loop().time()
+        async with entry.session.post(
+            "/idempotent/deadly", headers=headers, data=DEADLY
+        ) as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 60.0
+            assert (await response.json())["error"] == "crashes_instances"
+        assert asyncio.get_running_loop().time() - began_s < 0.2
+
+
+async def test_request_of_another_customer_is_not_banned() -> None:
+    """Guard against one customer's bytes that ban the request of another."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+        await _send_until_banned(entry)
+        fleet.crashes_instance = lambda target, body: False
+        headers = {
+            "Host": "h.example",
+            ATTEMPT_ID: "a",
+            "Authorization": "Bearer other",
+        }
+        async with entry.session.post(
+            "/idempotent/deadly", headers=headers, data=DEADLY
+        ) as response:
+            assert response.status == 200
+
+
+async def test_popular_lookup_beside_crashes_is_served_throughout() -> None:
+    """Guard against a ban of a lookup that is in flight at every crash."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+
+        async def look_up() -> list[int]:
+            return [
+                await _send(entry.session, number, "/idempotent/lookup", b"")
+                for number in range(40)
+            ]
+
+        lookups = [asyncio.create_task(look_up()) for _ in range(4)]
+        await _send_until_banned(entry, "non_idempotent")
+        statuses = [status for task in lookups for status in await task]
+        assert await _send(entry.session, 99, "/idempotent/lookup", b"") == 200
+    assert statuses.count(200) >= 0.95 * len(statuses)
+
+
+async def test_instance_that_only_loses_connections_is_no_crash() -> None:
+    """Guard against blame for a cut link or a broken answer."""
+
+    async def break_off(request: RawRequest, writer: asyncio.StreamWriter) -> bool:
+        return True
+
+    async with (
+        raw_server(break_off) as server,
+        serving_gateway([instance(0, server.address)], _table()) as entry,
+    ):
+        for number in range(5):
+            await _send(entry.session, number, "/non_idempotent/x", b"sound")
+        assert entry.suspects.reported_crashes == 0
+        assert not entry.suspects.has_suspects()
+
+
+async def test_instance_that_leaves_as_planned_is_no_crash() -> None:
+    """Guard against blame for requests that a planned stop of an instance ended."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+        for state in entry.directory.instances("svc"):
+            state.drain_s = 60.0
+            state.record_leaving(entry.clock.monotonic_s())
+        await _send(entry.session, 0, "/non_idempotent/deadly", DEADLY)
+        assert fleet.crashes == 1
+        assert entry.suspects.reported_crashes == 0
+
+
+async def test_request_that_cannot_be_checked_crashes_few_instances() -> None:
+    """Guard against endless resends while no coordinator is reachable."""
+    async with (
+        _fleet(_crashes_on_deadly) as fleet,
+        _entries(fleet, 1) as (entries, group),
+    ):
+        group.unreachable |= {"c-0", "c-1"}
+        await _send(entries[0].session, 0, "/idempotent/deadly", DEADLY)
+        assert fleet.crashes <= 3
+        sound = await _send(entries[0].session, 1, "/idempotent/sound", b"sound")
+        assert sound == 200
