Split the costs of a placement out of the dispatcher

The costs by which instances are compared move unchanged to request/placement_costs.py; the tests of large fleets call them there. No behaviour changes.

--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -19,11 +19,6 @@
 from lentilroad.request.cached_parts import CachedPartIndex
 from lentilroad.request.const import (
     AFFINITY_BONUS_S,
-    CACHED_PART_LIFETIME_S,
-    FAILURE_COST_S,
-    OTHER_REGION_COST_S,
-    OTHER_ZONE_COST_S,
-    PREFILL_COST_S_PER_TOKEN,
     RATE_LIMIT_RETRY_AFTER_MAX_S,
     SERVICE_RETRY_AFTER_MAX_S,
     SERVICE_RETRY_AFTER_MIN_S,
@@ -31,9 +26,9 @@
 )
 from lentilroad.request.instance_index import (
     InstanceIndex,
-    base_cost_s,
     slot_wait_s,
 )
+from lentilroad.request.placement_costs import PlacementCosts, prefill_cost_s
 from lentilroad.request.work import PlacementRequest
 
 # Waiting requests, from the front of the queue, that are considered for free slots at
@@ -105,8 +100,12 @@
         self._directory = directory
         self._clock = clock
         self._zone = availability_zone
-        self._region_of = region_of
-        self._region = region_of(availability_zone)
+        self._costs = PlacementCosts(
+            clock=clock,
+            availability_zone=availability_zone,
+            region_of=region_of,
+            random_share=random_share,
+        )
         self._services: dict[str, _Service] = {}
         self._cached_parts = CachedPartIndex()
         self._arrival_numbers = itertools.count()
@@ -271,19 +270,19 @@
         for state in self._cached_candidates(service, request, affinity_instance):
             if state.in_flight >= state.instance.slots:
                 continue
-            cost_s = self._cost_s(state, request, affinity_instance)
+            cost_s = self._costs.total_s(state, request, affinity_instance)
             if cost_s < best_cost_s:
                 best, best_cost_s = state, cost_s
         for zone in self._zones(service):
             min_cost_s = service.index.min_free_cost_s(zone)
-            min_cost_s += self._distance_cost_s(zone)
+            min_cost_s += self._costs.distance_s(zone)
             if best_cost_s <= min_cost_s:
                 continue
             for state in service.index.cheapest_free(zone, request.excluded):
-                cost_s = self._cost_s(state, request, affinity_instance)
+                cost_s = self._costs.total_s(state, request, affinity_instance)
                 if cost_s < best_cost_s:
                     best, best_cost_s = state, cost_s
-        if best is None or best_cost_s <= self._min_nearby_cost_s(service):
+        if best is None or best_cost_s <= self._costs.min_nearby_s(service.index):
             return best
         if best_cost_s > self._nearby_cost_s(service, request, affinity_instance):
             return None
@@ -318,20 +317,6 @@
             if state is not None and instance_id not in request.excluded:
                 yield state
 
-    def _min_nearby_cost_s(self, service: _Service) -> float:
-        """Return a lower bound of `_nearby_cost_s` that holds for any request."""
-        index = service.index
-        return min(
-            (
-                index.min_full_cost_s(zone)
-                + self._distance_cost_s(zone)
-                - AFFINITY_BONUS_S
-                for zone in index.zones
-                if self._region_of(zone) == self._region
-            ),
-            default=float("inf"),
-        )
-
     def _nearby_cost_s(
         self,
         service: _Service,
@@ -347,30 +332,24 @@
         full = [
             state
             for zone in index.zones
-            if self._region_of(zone) == self._region
+            if self._costs.is_nearby(zone)
             for state in index.cheapest_full(zone, request.excluded)
         ]
         full += (
             state
             for state in self._cached_candidates(service, request, affinity_instance)
             if state.in_flight >= state.instance.slots
-            and self._region_of(state.instance.availability_zone) == self._region
+            and self._costs.is_nearby(state.instance.availability_zone)
         )
         return min(
             (
-                self._cost_s(state, request, affinity_instance) + slot_wait_s(state)
+                self._costs.total_s(state, request, affinity_instance)
+                + slot_wait_s(state)
                 for state in full
             ),
             default=float("inf"),
         )
 
-    def _distance_cost_s(self, zone: str) -> float:
-        if zone == self._zone:
-            return 0.0
-        if self._region_of(zone) == self._region:
-            return OTHER_ZONE_COST_S
-        return OTHER_REGION_COST_S
-
     def _affinity_instance(
         self, service: _Service, request: PlacementRequest
     ) -> UpstreamState | None:
@@ -389,30 +368,6 @@
             return None
         return None if found.instance.instance_id in request.excluded else found
 
-    def _cost_s(
-        self,
-        state: UpstreamState,
-        request: PlacementRequest,
-        affinity_instance: UpstreamState | None,
-    ) -> float:
-        cost_s = base_cost_s(state)
-        cost_s += self._distance_cost_s(state.instance.availability_zone)
-        now_s = self._clock.monotonic_s()
-        if state.unresponsive(now_s) or state.suspected_until_s > now_s:
-            cost_s += FAILURE_COST_S
-        if state is affinity_instance:
-            cost_s -= AFFINITY_BONUS_S
-        # Without a random term, entries with the same information would all choose the
-        # same instance.
-        cost_s += TIE_BREAK_JITTER_S * self._random_share()
-        if state.instance.instance_id != request.preferred_instance_id:
-            cost_s += PREFILL_COST_S_PER_TOKEN * request.history_tokens
-        since_s = now_s - CACHED_PART_LIFETIME_S
-        for part, tokens in request.prompt_parts:
-            if state.recent_parts.get(part, float("-inf")) < since_s:
-                cost_s += PREFILL_COST_S_PER_TOKEN * tokens
-        return cost_s
-
     def _acquire_slot(
         self, state: UpstreamState, request: PlacementRequest
     ) -> UpstreamState:
@@ -431,7 +386,7 @@
         instance_id = state.instance.instance_id
         if not service.waiting or service.index.find(instance_id) is not state:
             return
-        nearby_cost_s = self._min_nearby_cost_s(service) + AFFINITY_BONUS_S
+        nearby_cost_s = self._costs.min_nearby_s(service.index) + AFFINITY_BONUS_S
         for key, waiter in list(service.waiting.items()[:MAX_WAITERS_CHECKED]):
             if state.in_flight >= state.instance.slots:
                 return
@@ -439,9 +394,9 @@
             if instance_id in request.excluded:
                 continue
             affinity_instance = self._affinity_instance(service, request)
-            cost_s = self._cost_s(state, request, affinity_instance)
+            cost_s = self._costs.total_s(state, request, affinity_instance)
             # Upper bound of the cost of the cheapest full instance: a cold cache.
-            if cost_s > nearby_cost_s + _prefill_cost_s(request) + TIE_BREAK_JITTER_S:
+            if cost_s > nearby_cost_s + prefill_cost_s(request) + TIE_BREAK_JITTER_S:
                 continue
             if cost_s <= self._nearby_cost_s(service, request, affinity_instance):
                 self._grant(service, key, waiter, state)
@@ -507,8 +462,3 @@
             return None
         permit_s = service.index.next_permit_s()
         return None if permit_s is None else permit_s - self._clock.monotonic_s()
-
-
-def _prefill_cost_s(request: PlacementRequest) -> float:
-    tokens = request.history_tokens + sum(tokens for _, tokens in request.prompt_parts)
-    return PREFILL_COST_S_PER_TOKEN * tokens
--- a/tests/request/test_large_fleet.py
+++ b/tests/request/test_large_fleet.py
@@ -58,7 +58,7 @@
         affinity_instance = self.dispatcher._affinity_instance(service, request)
         return min(
             (
-                self.dispatcher._cost_s(state, request, affinity_instance)
+                self.dispatcher._costs.total_s(state, request, affinity_instance)
                 for state in self.states()
                 if state.usable(now_s)
                 and state.in_flight < state.instance.slots
@@ -140,7 +140,7 @@
                 continue
             chosen_count += 1
             affinity_instance = fleet.dispatcher._affinity_instance(service, request)
-            cost_s = fleet.dispatcher._cost_s(state, request, affinity_instance)
+            cost_s = fleet.dispatcher._costs.total_s(state, request, affinity_instance)
             assert cost_s <= best_s + tolerance_s
             held.append(fleet.dispatcher._acquire_slot(state, request))
         assert chosen_count > 100
