--- a/lentilroad/request/crash_suspects.py
+++ b/lentilroad/request/crash_suspects.py
@@ -34,8 +34,8 @@
 COORDINATOR_RETRY_S = 1.0
 # Entries that an entry tells of new suspects that it has heard of from another entry.
 FORWARD_FANOUT = 8
-# Interval in which an entry fetches the suspects from a coordinator, in a small group
-# of entries; a coordinator accepts about this many of these calls per second.
+# Interval in which an entry fetches the suspects from both coordinators, in a small
+# group of entries; each of them accepts about this many of these calls per second.
 SYNC_INTERVAL_S = 2.0
 MAX_SYNCS_PER_S = 20.0
 # Time after which a started entry tries again to reach a coordinator.
@@ -274,7 +274,7 @@
         return SuspectList(suspects=[])
 
     async def synchronize_regularly(self) -> None:
-        """Exchange bans with a coordinator, at the start and regularly."""
+        """Exchange bans with the coordinators, at the start and regularly."""
         while not await self.synchronize():
             await self._clock.sleep(SYNC_RETRY_S)
         while True:
@@ -283,18 +283,28 @@
             await self.synchronize()
 
     async def synchronize(self) -> bool:
-        """Exchange bans with a coordinator; return whether one replied."""
+        """Exchange bans with the coordinators; return whether one replied.
+
+        Each coordinator decides by itself, so that either may know bans that the other
+        does not.
+        """
         unreported, self._unreported = self._unreported, []
         for report in unreported:
             await self._send_report(report)
         request = SuspectList(suspects=self._bans())
-        for coordinator in self._ranked_coordinators():
-            reply = await self._try_call(coordinator, SHARE_SUSPECTS, request)
+        replies = await asyncio.gather(
+            *(
+                self._try_call(coordinator, SHARE_SUSPECTS, request)
+                for coordinator in self._coordinators()
+            )
+        )
+        # Other entries know what a started entry hears first.
+        fanout = FORWARD_FANOUT if self.synchronized else 0
+        for reply in replies:
             if reply is not None:
-                self._merge(reply.suspects, fanout=0)
+                self._merge(reply.suspects, fanout=fanout)
                 self.synchronized = True
-                return True
-        return False
+        return self.synchronized
 
     async def _send_report(self, report: CrashReport) -> None:
         # Both coordinators collect the evidence, so that either may decide.
--- a/tests/fakes/crashes.py
+++ b/tests/fakes/crashes.py
@@ -43,6 +43,10 @@
         """Replace a coordinator by one that knows nothing."""
         self._coordinators[address] = CrashCoordinator(clock=self._clock)
 
+    def coordinator(self, address: str) -> CrashCoordinator:
+        """Return the coordinator at an address."""
+        return self._coordinators[address]
+
     def entry(self, address: str, directory: UpstreamDirectory) -> CrashSuspects:
         """Return the suspects of a new entry, which replaces one at its address."""
         entry = CrashSuspects(
--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -11,6 +11,8 @@
 import pytest
 
 from lentilroad.clock import SystemClock
+from lentilroad.membership.crash_messages import Suspect, SuspectList
+from lentilroad.membership.upstreams import UpstreamDirectory
 from lentilroad.version.routes import Route, RouteKind
 from tests.fakes.crashes import CrashCoordinatorGroup
 from tests.fakes.crashing_fleet import CrashingFleet
@@ -147,6 +149,19 @@
         assert fleet.crashes == crashes <= 3 + RETRIES
 
 
+async def test_ban_of_one_coordinator_reaches_the_other() -> None:
+    """Guard against a trial at a coordinator that missed the ban of the other."""
+    clock = SystemClock()
+    group = CrashCoordinatorGroup(clock=clock)
+    entry = group.entry("entry", UpstreamDirectory(clock=clock))
+    ban = SuspectList(suspects=[Suspect(key=b"k", banned_for_s=60.0, bans=1)])
+    await group.coordinator("c-1").share(ban)
+    await entry.synchronize()
+    await entry.synchronize()
+    reply = await group.coordinator("c-0").share(SuspectList(suspects=[]))
+    assert [suspect.bans for suspect in reply.suspects] == [1]
+
+
 async def test_refusal_of_a_banned_request_comes_at_once_with_its_end() -> None:
     """Guard against callers that hammer a request that cannot be served."""
     async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
