Let workers of the soak crash under certain requests

Two such requests are sent over and over through random entries, on streamed, plain and idempotent routes.

--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -31,6 +31,7 @@
 import aiohttp
 from docopt import docopt
 
+from lentilroad.soak.crashes import crash_worker
 from lentilroad.soak.programs import Caller, Findings
 from lentilroad.soak.proxy import LinkFault
 from lentilroad.soak.statements import LimitPeriod, StatementChecks
@@ -42,6 +43,8 @@
 CATCH_UP_S = 4.4
 IN_FLIGHT_WAIT_S = 2.0
 PROCESS_FAULT_SERIES = 2
+# Requests that crash the workers that run them, sent at the same time.
+CRASHING_REQUESTS = 2
 # Shares of a worker's faults: it states a limit, or leaves, also as the list has it.
 LIMIT_SHARE = 0.6
 LISTED_DRAIN_SHARE = 0.5
@@ -80,15 +83,19 @@
                     for number in range(len(world.workers))
                 ),
             )
+            crashes = _let_workers_crash(world, caller, source)
             running = [
                 asyncio.create_task(_repeat_programs(caller, session))
                 for _ in range(callers)
+            ] + [
+                asyncio.create_task(caller.send_crashing_request(session))
+                for _ in range(CRASHING_REQUESTS)
             ]
             await asyncio.sleep(duration_s)
             for task in (faults, *running):
                 task.cancel()
             world.heal_links()
-            await asyncio.gather(faults, *running, return_exceptions=True)
+            await asyncio.gather(faults, *running, *crashes, return_exceptions=True)
         # Requests still in flight at the workers may complete within this time.
         await asyncio.sleep(IN_FLIGHT_WAIT_S)
     finally:
@@ -97,6 +104,28 @@
     return caller.findings
 
 
+def _let_workers_crash(
+    world: World, caller: Caller, source: random.Random
+) -> set[asyncio.Task[None]]:
+    """Let each worker crash on certain requests; return the crashes under way."""
+    under_way: set[asyncio.Task[None]] = set()
+
+    def install(number: int) -> None:
+        def crashes_on(body: bytes) -> bool:
+            if not caller.findings.crashes.crashes_worker(body):
+                return False
+            task = asyncio.create_task(crash_worker(world, number, source))
+            under_way.add(task)
+            task.add_done_callback(under_way.discard)
+            return True
+
+        world.workers[number].crashes_on = crashes_on
+
+    for number in range(len(world.workers)):
+        install(number)
+    return under_way
+
+
 async def _repeat_programs(caller: Caller, session: aiohttp.ClientSession) -> None:
     while True:
         await caller.run_program(session)
--- a/lentilroad/soak/programs.py
+++ b/lentilroad/soak/programs.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from lentilroad.soak.crashes import CRASHING_PATHS, CrashChecks
 from lentilroad.soak.statements import StatementChecks
 from lentilroad.soak.world import (
     CLIENT_PORT,
@@ -41,6 +42,7 @@
     at_most_once: set[str] = field(default_factory=set)
     expected_bodies: dict[str, bytes] = field(default_factory=dict)
     statements: StatementChecks = field(default_factory=StatementChecks)
+    crashes: CrashChecks = field(default_factory=CrashChecks)
     served: int = 0
     refused: int = 0
     failed: int = 0
@@ -55,9 +57,9 @@
             expected = self.expected_bodies.get(request_id)
             if expected is not None and any(run.body != expected for run in runs):
                 self.violations.append(f"{request_id} ran with a wrong history")
-        self.violations += self.statements.violations(
-            run for runs in world.log.runs.values() for run in runs
-        )
+        all_runs = [run for runs in world.log.runs.values() for run in runs]
+        self.violations += self.statements.violations(all_runs)
+        self.violations += self.crashes.violations(all_runs, world)
 
 
 class Caller:
@@ -121,6 +123,16 @@
                 f"{program_id} received {received_tokens} tokens, budget {budget}"
             )
 
+    async def send_crashing_request(self, session: aiohttp.ClientSession) -> None:
+        """Send a request that crashes its worker, again and again."""
+        path = self._source.choice(CRASHING_PATHS)
+        body = f"crash {self._source.getrandbits(32):x}\n".encode()
+        await asyncio.sleep(self._source.uniform(1.0, 4.0))
+        self.findings.crashes.bodies.append(body)
+        while True:
+            await self._send(session, path, self._new_id(), body, {})
+            await asyncio.sleep(self._source.uniform(0.1, 0.6))
+
     async def _charge(self, session: aiohttp.ClientSession) -> None:
         request_id = self._new_id()
         status, reply, complete = await self._send(
@@ -138,12 +150,14 @@
         headers: dict[str, str],
     ) -> tuple[int, bytes, bool]:
         findings = self.findings
-        findings.at_most_once.add(request_id)
+        if not path.startswith("/read/"):
+            findings.at_most_once.add(request_id)
         entry = self._source.choice(self._world.entries)
         received = bytearray()
         status = 0
         clock = asyncio.get_running_loop().time
         findings.statements.record_sent(request_id, entry, clock())
+        findings.crashes.sent_to[request_id] = entry
         try:
             async with (
                 asyncio.timeout(REPLY_TIMEOUT_S),
@@ -176,6 +190,7 @@
         if status in NOT_RUN_STATUSES:
             findings.not_run.add(request_id)
             findings.refused += 1
+            findings.crashes.record_refusal(request_id, body, bytes(received))
         elif status == 200:
             findings.served += 1
         return status, bytes(received), True
--- a/lentilroad/soak/proxy.py
+++ b/lentilroad/soak/proxy.py
@@ -50,13 +50,25 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server is not None
+
     async def start(self, host: str) -> None:
         """Listen on a free port."""
+        await self._listen(host, 0)
+
+    async def listen_again(self) -> None:
+        """Listen on the former port after `close`."""
+        await self._listen(*split_address(self.address))
+
+    async def _listen(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(
-            self._serve, sock=open_listener(host, 0)
+            self._serve, sock=open_listener(host, port)
         )
-        bound_host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{bound_host}:{port}"
+        bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{bound_host}:{bound_port}"
 
     def reset_connections(self) -> None:
         """Reset all open connections; new connections work."""
@@ -73,6 +85,7 @@
         """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         self.reset_connections()
 
     async def _serve(
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -155,6 +155,7 @@
         self.workers: list[WorkerStandIn] = []
         # One link to each worker, and one from each process to the metadata store.
         self.links: list[LinkProxy] = []
+        self.worker_links: list[LinkProxy] = []
         self.configuration_version = 1
         self._worker_addresses: list[str] = []
         self._folder = folder
@@ -178,6 +179,7 @@
             await worker.start("127.0.0.1")
             self.workers.append(worker)
             link = await self._open_link(worker.address)
+            self.worker_links.append(link)
             self._worker_addresses.append(link.address)
             await self.register_worker(number)
         await self.store.put("op/config", configuration(version=1))
--- a/lentilroad/standins/platform_worker.py
+++ b/lentilroad/standins/platform_worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 EVENTS_PER_TURN = 3
@@ -65,9 +66,13 @@
         self.limit_per_s: float | None = None
         # Whether the worker states that it leaves.
         self.leaving = False
+        # Receives the body of each request that begins to run; returns whether the
+        # worker crashed.
+        self.crashes_on: Callable[[bytes], bool] = lambda body: False
         self._log = log
         self._source = source
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
         """Listen on a free port."""
@@ -76,13 +81,16 @@
         self.address = f"{bound_host}:{port}"
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -98,7 +106,9 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass  # The caller closed the connection.
-        writer.close()
+        finally:
+            self._writers.discard(writer)
+            writer.close()
 
     async def _handle_request(
         self,
@@ -133,6 +143,8 @@
             )
         )
         await asyncio.sleep(self._source.uniform(0.005, 0.05))
+        if self.crashes_on(body):
+            return False
         if self._source.random() < self.lost_reply_share:
             return False
         sealed_head = (
