--- a/lentilroad/soak/crashes.py
+++ b/lentilroad/soak/crashes.py
@@ -47,7 +47,7 @@
         if BAN_CODE in reply and not self.crashes_worker(body):
             self.banned_sound.append(request_id)
 
-    def violations(self, runs: Iterable[Run], world: World) -> list[str]:
+    def violations(self, runs: Iterable[Run]) -> list[str]:
         """Return the sound requests that were banned, and crashes beyond the bound."""
         found = [f"{request_id} was banned" for request_id in self.banned_sound]
         by_body: dict[bytes, list[Run]] = defaultdict(list)
@@ -57,7 +57,7 @@
                     by_body[body].append(run)
         for body, body_runs in by_body.items():
             body_runs.sort(key=lambda run: run.received_s)
-            late = self._late_runs(body_runs, world)
+            late = self._late_runs(body_runs)
             if len(late) > ALLOWED_RETRIES:
                 found.append(
                     f"{body!r} reached workers {len(late)} more times after its third "
@@ -65,7 +65,7 @@
                 )
         return found
 
-    def _late_runs(self, runs: list[Run], world: World) -> list[Run]:
+    def _late_runs(self, runs: list[Run]) -> list[Run]:
         if len(runs) <= CRASHES_TO_LEARN:
             return []
         learned_s = runs[CRASHES_TO_LEARN - 1].received_s + SETTLING_S
@@ -74,16 +74,14 @@
             for run in runs
             if run.request_id in self.sent_to
             and run.received_s > learned_s
-            and self._is_undisturbed(run, world)
+            and self._is_undisturbed(run)
         ]
 
-    def _is_undisturbed(self, run: Run, world: World) -> bool:
-        """Return whether the entry and all storage members were calm before a run."""
-        entry = self.sent_to[run.request_id]
+    def _is_undisturbed(self, run: Run) -> bool:
+        """Return whether the entry of a run ran without signals for some time."""
         return not any(
             run.received_s - SETTLING_S <= disturbed_s <= run.received_s
-            for process in (entry, *world.storages)
-            for disturbed_s in process.disturbed_s
+            for disturbed_s in self.sent_to[run.request_id].disturbed_s
         )
 
 
--- a/lentilroad/soak/programs.py
+++ b/lentilroad/soak/programs.py
@@ -59,7 +59,7 @@
                 self.violations.append(f"{request_id} ran with a wrong history")
         all_runs = [run for runs in world.log.runs.values() for run in runs]
         self.violations += self.statements.violations(all_runs)
-        self.violations += self.crashes.violations(all_runs, world)
+        self.violations += self.crashes.violations(all_runs)
 
 
 class Caller:
