Give concurrent soaks different loopback addresses

Two soaks ran beside each other with process ids that are equal modulo 200: both used 127.180.0.0/16, a storage process found its address in use, and the entries of one run received the requests of the other (request r00000001 with the programs pcee536d758a6 and p4ef3e067c00a). The address now depends on the rest of the process id as well. The checks are unchanged.

--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -27,6 +27,9 @@
 GRACE_S = 4.0
 READY_POLL_S = 0.1
 START_INTERVAL_S = 0.05
+# Loopback networks of concurrent runs, and pairs of third octets within each.
+NETWORKS = 200
+MAX_THIRD_OCTETS = 120
 
 
 class ProgramProcess:
@@ -49,11 +52,12 @@
     ) -> None:
         self.role = role
         self.name = f"{role}-{number}"
-        octet = 1 if role == "entry" else 2
         # Each machine has its own loopback address, so that all use the same ports.
-        # Concurrent runs use different networks.
-        network = 10 + os.getpid() % 200
-        self.ip = f"127.{network}.{octet}.{number + 1}"
+        # Concurrent runs use different networks: process ids that are close together
+        # differ in the second octet, others in the third one.
+        third_octet = 2 * (os.getpid() // NETWORKS % MAX_THIRD_OCTETS)
+        third_octet += 0 if role == "entry" else 1
+        self.ip = f"127.{10 + os.getpid() % NETWORKS}.{third_octet}.{number + 1}"
         self.region = REGIONS[number % len(REGIONS)]
         self.process: asyncio.subprocess.Process | None = None
         # Loop times of starts and signals; a process need not know what came before.
