Split the table of suspects out of the calls about them

What an entry knows of suspects and of targets that succeeded moves to request/suspect_table.py; the calls to coordinators and other entries stay.

--- a/lentilroad/request/crash_suspects.py
+++ b/lentilroad/request/crash_suspects.py
@@ -1,12 +1,10 @@
-"""Suspects and bans that an entry knows, and its calls to the crash coordinators."""
+"""Calls of an entry about requests that may crash the instances that run them."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any
 
 from lentilroad.clock import Clock
@@ -28,6 +26,7 @@
 from lentilroad.membership.suspicions import REPORT_FANOUT
 from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
 from lentilroad.process.events import log_event
+from lentilroad.request.suspect_table import SuspectTable
 
 CALL_TIMEOUT_S = 0.25
 # A coordinator that did not answer is asked last for this long.
@@ -40,43 +39,11 @@
 MAX_SYNCS_PER_S = 20.0
 # Time after which a started entry tries again to reach a coordinator.
 SYNC_RETRY_S = 0.05
-# A suspect is forgotten this long after an entry last heard of it.
-SUSPECT_EXPIRY_S = 600.0
-MAX_SUSPECTS = 512
-# A target to which a request succeeded in this time does not cause crashes by itself.
-SUCCESS_MEMORY_S = 60.0
-MAX_SUCCEEDED_TARGETS = 4096
 MAX_UNREPORTED_CRASHES = 16
 
 
-class BannedRequestError(LentilroadError):
-    """The request has crashed the instances that ran it; change it."""
-
-    code = "crashes_instances"
-    http_status = 503
-
-
-@dataclass(slots=True, kw_only=True)
-class _Known:
-    """What this entry knows of a suspect.
-
-    Attributes
-    ----------
-    confirmed_s : float
-        Monotonic time at which a coordinator last stated it.
-    banned_until_s, expires_s : float
-        Monotonic times.
-    """
-
-    banned_until_s: float
-    bans: int
-    crashes: int
-    confirmed_s: float
-    expires_s: float
-
-
 class CrashSuspects:
-    """Suspects known to this entry, shared with the other entries.
+    """Reports crashes, asks for trials, and shares suspects with other entries.
 
     Parameters
     ----------
@@ -112,9 +79,7 @@
         self._directory = directory
         self._clock = clock
         self._random = random.Random()
-        self._known: OrderedDict[bytes, _Known] = OrderedDict()
-        # Monotonic time of the last success, by target.
-        self._succeeded_s: OrderedDict[bytes, float] = OrderedDict()
+        self._table = SuspectTable(clock=clock)
         self._failed_until_s: dict[str, float] = {}
         self.reported_crashes = 0
         # Whether the bans of the other entries were read once.
@@ -124,16 +89,15 @@
 
     def suspected_count(self) -> int:
         """Return the number of known suspects that are not banned."""
-        return len(self._known) - self.banned_count()
+        return len(self._table) - self._table.banned_count()
 
     def banned_count(self) -> int:
         """Return the number of banned requests."""
-        now_s = self._clock.monotonic_s()
-        return sum(1 for known in self._known.values() if known.banned_until_s > now_s)
+        return self._table.banned_count()
 
     def has_suspects(self) -> bool:
         """Return whether any suspect is known."""
-        return bool(self._known)
+        return len(self._table) > 0
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request must not be sent without a trial.
@@ -143,30 +107,11 @@
         BannedRequestError
             The request must not be sent at all.
         """
-        found = False
-        now_s = self._clock.monotonic_s()
-        for key in fingerprint.digests():
-            known = self._known.get(key)
-            if known is None:
-                continue
-            if known.banned_until_s > now_s:
-                raise BannedRequestError(
-                    "this request has crashed every instance that ran it; change the "
-                    "request, or send it again after the stated time",
-                    retry_after_ms=int(1000 * (known.banned_until_s - now_s)),
-                )
-            if known.expires_s > now_s:
-                found = True
-            else:
-                del self._known[key]
-        return found
+        return self._table.is_suspect(fingerprint)
 
     def crash_count(self, fingerprint: Fingerprint) -> int:
         """Return the number of crashes that are known to count against a request."""
-        return max(
-            self._known[key].crashes if key in self._known else 0
-            for key in fingerprint.digests()
-        )
+        return self._table.crash_count(fingerprint)
 
     async def acquire_trial(
         self, fingerprint: Fingerprint, state: UpstreamState, lease_s: float
@@ -179,12 +124,6 @@
             None if no coordinator is reachable.
         """
         instance = state.instance
-        now_s = self._clock.monotonic_s()
-        known_s = (
-            self._known[key].confirmed_s
-            for key in fingerprint.digests()
-            if key in self._known
-        )
         request = TrialRequest(
             fingerprint=fingerprint,
             instance_id=instance.instance_id,
@@ -193,15 +132,15 @@
             instances=len(self._directory.instances(instance.service)),
             entry=self._own_address,
             lease_s=lease_s,
-            known_crashes=self.crash_count(fingerprint),
-            known_for_s=now_s - max(known_s, default=now_s),
+            known_crashes=self._table.crash_count(fingerprint),
+            known_for_s=self._table.known_for_s(fingerprint),
         )
         for coordinator in self._ranked_coordinators():
             reply = await self._try_call(coordinator, ACQUIRE_TRIAL, request)
             if reply is None:
                 continue
             if reply.decision is TrialDecision.CLEARED:
-                self._forget(fingerprint)
+                self._table.forget(fingerprint)
             self._merge(reply.suspects, fanout=REPORT_FANOUT)
             return reply
         return None
@@ -215,7 +154,7 @@
             started_ms=instance.started_ms,
             instances=len(self._directory.instances(instance.service)),
             runs=[blamed for run in runs if (blamed := self._blamed(run)).digests()],
-            bans=self._bans(),
+            bans=self._table.bans(),
         )
         self.reported_crashes += 1
         await self._send_report(report)
@@ -256,17 +195,12 @@
         fingerprint : callable
             Returns the fingerprint, which is needed only if suspects are known.
         """
-        self._succeeded_s[target] = self._clock.monotonic_s()
-        self._succeeded_s.move_to_end(target)
-        if len(self._succeeded_s) > MAX_SUCCEEDED_TARGETS:
-            self._succeeded_s.popitem(last=False)
-        if not self._known:
+        self._table.record_success(target)
+        if not self.has_suspects():
             return
         suspect = fingerprint()
-        if not any(key in self._known for key in suspect.digests()):
-            return
-        self._forget(suspect)
-        self._start(self._send_end(_trial_end(suspect, state, succeeded=True)))
+        if self._table.forget(suspect):
+            self._start(self._send_end(_trial_end(suspect, state, succeeded=True)))
 
     async def receive(self, request: SuspectList) -> SuspectList:
         """Handle `SHARE_SUSPECTS` of another entry."""
@@ -291,7 +225,7 @@
         unreported, self._unreported = self._unreported, []
         for report in unreported:
             await self._send_report(report)
-        request = SuspectList(suspects=self._bans())
+        request = SuspectList(suspects=self._table.bans())
         replies = await asyncio.gather(
             *(
                 self._try_call(coordinator, SHARE_SUSPECTS, request)
@@ -354,52 +288,18 @@
 
     def _blamed(self, run: Fingerprint) -> Fingerprint:
         """Return the digests of a request to which no success is known."""
-        if not self._has_succeeded(run.target):
+        if not self._table.has_succeeded(run.target):
             return run
         return Fingerprint(target=b"", content=run.content)
 
-    def _has_succeeded(self, target: bytes) -> bool:
-        succeeded_s = self._succeeded_s.get(target, float("-inf"))
-        return self._clock.monotonic_s() - succeeded_s <= SUCCESS_MEMORY_S
-
-    def _bans(self) -> list[Suspect]:
-        now_s = self._clock.monotonic_s()
-        return [
-            Suspect(
-                key=key,
-                crashes=known.crashes,
-                banned_for_s=max(0.0, known.banned_until_s - now_s),
-                bans=known.bans,
-            )
-            for key, known in self._known.items()
-            if known.bans > 0
-        ]
-
     def _merge(self, suspects: list[Suspect], *, fanout: int) -> None:
         """Adopt suspects, and tell other entries of those that are new."""
-        now_s = self._clock.monotonic_s()
         new = []
         for suspect in suspects:
-            if suspect.bans == 0 and self._has_succeeded(suspect.key):
+            if suspect.bans == 0 and self._table.has_succeeded(suspect.key):
                 self._clear_target(suspect.key)
-                continue
-            known = self._known.get(suspect.key)
-            if known is None or (known.bans, known.crashes) < (
-                suspect.bans,
-                suspect.crashes,
-            ):
+            elif self._table.merge(suspect):
                 new.append(suspect)
-                self._known[suspect.key] = known = _Known(
-                    banned_until_s=now_s + suspect.banned_for_s,
-                    bans=suspect.bans,
-                    crashes=suspect.crashes,
-                    confirmed_s=now_s,
-                    expires_s=0.0,
-                )
-            known.confirmed_s = now_s
-            known.expires_s = max(known.banned_until_s, now_s) + SUSPECT_EXPIRY_S
-        while len(self._known) > MAX_SUSPECTS:
-            self._known.popitem(last=False)
         if not new:
             return
         log_event(
@@ -431,12 +331,6 @@
         )
         self._start(self._send_end(end))
 
-    def _forget(self, fingerprint: Fingerprint) -> None:
-        for key in fingerprint.digests():
-            known = self._known.get(key)
-            if known is not None and known.banned_until_s <= self._clock.monotonic_s():
-                del self._known[key]
-
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
