Test that silence and unreachable machines are no crashes

Requests on a machine that lost power or is cut off must not be blamed: only a connection that the server ended, at an address that then refuses connections, is a crash.

--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -11,6 +11,7 @@
 import pytest
 
 from lentilroad.clock import SystemClock
+from lentilroad.connection.http_exchange import ExchangeBrokenError, HttpConnection
 from lentilroad.membership.crash_messages import Suspect, SuspectList
 from lentilroad.membership.upstreams import UpstreamDirectory
 from lentilroad.version.routes import Route, RouteKind
@@ -101,6 +102,13 @@
     assert fleet.crashes <= 3 + RETRIES
 
 
+class _NoTransport(asyncio.Transport):
+    """Transport without a socket."""
+
+    def get_extra_info(self, name: str, default: object = None) -> None:
+        """Return nothing: there is no socket."""
+
+
 def _crashes_on_deadly(target: bytes, body: bytes) -> bool:
     return body == DEADLY
 
@@ -226,6 +234,49 @@
         assert not entry.suspects.has_suspects()
 
 
+async def test_instance_that_falls_silent_is_no_crash() -> None:
+    """Guard against blame for a machine that lost power or is cut off."""
+
+    async def hang(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5.0)
+
+    async with (
+        raw_server(hang) as server,
+        serving_gateway([instance(0, server.address)], _table()) as entry,
+    ):
+        await asyncio.gather(
+            *(
+                _send(entry.session, number, f"/{kind.value}/x", b"sound")
+                for number, kind in enumerate(RouteKind)
+            )
+        )
+        assert len(server.requests) == len(RouteKind)
+        assert entry.suspects.reported_crashes == 0
+
+
+@pytest.mark.parametrize(
+    ("error", "lost"),
+    [
+        (None, True),
+        (ConnectionResetError(), True),
+        # The kernel gave up: nobody acknowledged the bytes.
+        (TimeoutError(), False),
+        (OSError("no route to host"), False),
+    ],
+)
+async def test_only_a_connection_that_the_server_ended_is_lost(
+    error: Exception | None, lost: bool
+) -> None:
+    """Guard against taking an unreachable machine for a crashed process."""
+    connection = HttpConnection()
+    connection.connection_made(_NoTransport())
+    connection._begin(None)
+    connection.connection_lost(error)
+    with pytest.raises(ExchangeBrokenError) as raised:
+        await connection.next_chunk()
+    assert raised.value.connection_lost is lost
+
+
 async def test_instance_that_leaves_as_planned_is_no_crash() -> None:
     """Guard against blame for requests that a planned stop of an instance ended."""
     async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
