--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -170,6 +170,27 @@
     assert [suspect.bans for suspect in reply.suspects] == [1]
 
 
+async def test_started_entry_learns_bans_from_the_first_reachable_coordinator() -> None:
+    """Guard against a banned request that is sent by an entry that has just started.
+
+    After a start the entry may not know the storage members yet.
+    """
+    clock = SystemClock()
+    group = CrashCoordinatorGroup(clock=clock)
+    ban = SuspectList(suspects=[Suspect(key=b"k", banned_for_s=60.0, bans=1)])
+    await group.coordinator("c-1").share(ban)
+    entry = group.entry("entry", UpstreamDirectory(clock=clock))
+    group.unreachable |= {"c-0", "c-1"}
+    regularly = asyncio.create_task(entry.synchronize_regularly())
+    await asyncio.sleep(0.3)
+    assert not entry.synchronized
+    group.unreachable.clear()
+    await asyncio.sleep(0.5)
+    assert entry.synchronized
+    regularly.cancel()
+    assert entry.banned_count() == 1
+
+
 async def test_refusal_of_a_banned_request_comes_at_once_with_its_end() -> None:
     """Guard against callers that hammer a request that cannot be served."""
     async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
