--- a/lentilroad/membership/crash_causes.py
+++ b/lentilroad/membership/crash_causes.py
@@ -61,12 +61,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Ban:
+    """Ban of a digest until a monotonic time, and how often it was banned."""
+
     until_s: float
     bans: int
 
 
 @dataclass(slots=True, kw_only=True)
 class _Trial:
+    """Run of a suspect, which ends at a monotonic time at the latest."""
+
     fingerprint: Fingerprint
     until_s: float
 
@@ -89,7 +93,8 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._started_s = clock.monotonic_s()
-        self._adopted = itertools.count()
+        # Numbers of the crashes that entries know from before this start.
+        self._adopted_numbers = itertools.count()
         self._evidence = CrashEvidence()
         self._bans: OrderedDict[bytes, _Ban] = OrderedDict()
         self._trials: dict[Incarnation, _Trial] = {}
@@ -207,7 +212,7 @@
         counted = self._evidence.run_crash_count(request.fingerprint)
         for _ in range(counted, min(request.known_crashes, BAN_AFTER_CRASHES)):
             self._evidence.record(
-                (ADOPTED_INSTANCE_ID, next(self._adopted)),
+                (ADOPTED_INSTANCE_ID, next(self._adopted_numbers)),
                 Crash(
                     service=request.service,
                     first_report_s=now_s,
