--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,66 +1,77 @@
-"""A conversation outlives the retention of its first turn; then a disk is lost."""
+"""All storage processes are killed while one machine is replaced for good."""
 
 from __future__ import annotations
 
 import asyncio
 
 from common.client import MOST_TOKENS, Program
-from common.machines import CATCH_UP_S
 from common.site import BROKEN, HELD, CaseError, Site, run_case
 
-PROGRAMS = 30
-RETENTION_S = 20.0
-TURN_EACH_S = 5.0
-# The conversations are this old when the disk is lost.
-TALK_S = 86.0
-BUDGET = 100 * MOST_TOKENS
-WIPED = "storage-a"
-DOWN_S = 2.0
+ENTRIES = ("entry-a", "entry-b", "entry-c")
+BUDGET = 3 * MOST_TOKENS
+RECOVERY_S = 12.0
+TRAFFIC_S = 12.0
+JUDGED_S = 10.0
+PAUSE_S = 0.2
+# Killed processes are back within a second.
+RESTART_AFTER_S = 0.5
+# The new machine comes this long after the old one has gone.
+SUCCESSOR_AFTER_S = 1.0
+NEW = "storage-a-2"
 
 
 async def case(site: Site, trouble: bool) -> int:
-    """Continue conversations for some retention times, and lose one disk."""
-    loop = asyncio.get_running_loop()
-    programs = [Program(name=f"p{n:02d}", budget=BUDGET) for n in range(PROGRAMS)]
-    began_s = loop.time()
-    # The lines of turns begin in one zone and go on in another one.
-    for program in programs:
-        await _serve(site, "entry-b", program)
-    while loop.time() - began_s < TALK_S:
-        await asyncio.sleep(TURN_EACH_S - (loop.time() - began_s) % TURN_EACH_S)
-        for program in programs:
-            await _serve(site, "entry-c", program)
+    """Serve turns, strike, wait for the recovery, and serve turns again."""
+    # Planned work before the traffic: each storage machine is stopped and started.
+    for name, storage in site.storages.items():
+        await storage.terminate()
+        await storage.start(bootstrap=False)
+        site.record.add(f"{name} got SIGTERM and was started again")
+        await asyncio.sleep(2.0)
+    await site.wait_ready()
+
+    served, sent = await _traffic(site, TRAFFIC_S, "before")
+    if served < sent / 4:
+        raise CaseError("under a quarter was served before the fault")
 
     if trouble:
-        wiped = site.storages[WIPED]
-        await wiped.kill()
-        wiped.wipe_disk()
-        site.record.add(f"{WIPED} lost its disk")
-        await asyncio.sleep(DOWN_S)
-        await wiped.start(bootstrap=False)
-        site.record.add(f"{WIPED} restarted with an empty disk")
-    await asyncio.sleep(CATCH_UP_S + 1.0)
+        old = dict(site.storages)
+        await asyncio.gather(*(storage.kill() for storage in old.values()))
+        site.record.add("all storage processes killed; storage-a is gone for good")
+        await asyncio.sleep(RESTART_AFTER_S)
+        for name, storage in old.items():
+            if name != "storage-a":
+                await storage.start(bootstrap=False)
+                site.record.add(f"{name} restarted with its disk")
+        await asyncio.sleep(SUCCESSOR_AFTER_S - RESTART_AFTER_S)
+        new = await site.add_machine("storage", NEW, "north-a")
+        await new.start(bootstrap=False)
+        site.record.add(f"{NEW} started at a new address with an empty disk")
+    await asyncio.sleep(RECOVERY_S + 2.0)
 
-    lost = 0
-    for program in programs:
-        age_s = loop.time() - program.answered_s
-        previous = program.turns[-1]
-        answer = await site.turn_with_retries("entry-a", program, tries=2)
-        if answer.status in (404, 410):
-            lost += 1
-            site.record.add(
-                f"BROKEN: {program.name} got {answer.status} for turn {previous}, "
-                f"which was answered whole {age_s:.1f} s ago; RetentionS is "
-                f"{RETENTION_S:g}"
-            )
-    site.record.add(f"{lost} of {PROGRAMS} conversations lost")
-    return BROKEN if lost else HELD
+    served, sent = await _traffic(site, JUDGED_S, "after")
+    if served >= sent / 4:
+        return HELD
+    site.record.add(
+        f"BROKEN: {served} of {sent} requests were served that were sent later than "
+        f"RecoveryS ({RECOVERY_S:g} s) after the machines were back"
+    )
+    return BROKEN
 
 
-async def _serve(site: Site, entry: str, program: Program) -> None:
-    answer = await site.turn_with_retries(entry, program)
-    if answer.status != 200:
-        raise CaseError("a turn was not served before the disruption")
+async def _traffic(site: Site, for_s: float, name: str) -> tuple[int, int]:
+    """Send turns of new programs; return how many were served and sent."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + for_s
+    served = sent = 0
+    while loop.time() < until_s:
+        program = Program(name=f"{name}-{sent}", budget=BUDGET)
+        answer = await site.turn(ENTRIES[sent % len(ENTRIES)], program)
+        sent += 1
+        served += answer.status == 200 and answer.whole
+        await asyncio.sleep(PAUSE_S)
+    site.record.add(f"{name} the fault: {served} of {sent} requests served")
+    return served, sent
 
 
-run_case(case, retention_s=RETENTION_S)
+run_case(case)
--- a/review/common/client.py
+++ b/review/common/client.py
@@ -42,10 +42,12 @@
     answered_s: float = 0.0
 
 
-async def send_turn(entry: Machine, program: Program) -> Answer:
+async def send_turn(
+    entry: Machine, program: Program, *, input_bytes: int = 0
+) -> Answer:
     """Send the program's next turn once, on a new connection."""
     attempt = f"a{next(_numbers):015x}"
-    body = f"input of {attempt}\n".encode()
+    body = f"input of {attempt}".ljust(input_bytes, ".").encode() + b"\n"
     lines = [
         "POST /turn/1 HTTP/1.1",
         f"Host: {HOST}",
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -121,10 +121,12 @@
                 await asyncio.sleep(0.1)
             self.record.add(f"{name} is ready")
 
-    async def turn(self, entry: str, program: Program) -> Answer:
+    async def turn(
+        self, entry: str, program: Program, *, input_bytes: int = 0
+    ) -> Answer:
         """Send the next turn of a program once and record it."""
         previous = program.turns[-1] if program.turns else "-"
-        answer = await send_turn(self.entries[entry], program)
+        answer = await send_turn(self.entries[entry], program, input_bytes=input_bytes)
         self.record.add(
             f"turn {answer.attempt} of {program.name} at {entry} after {previous}: "
             f"status {answer.status}, {'whole' if answer.whole else 'not whole'}, "
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -77,6 +77,11 @@
         self.items[key] = item
         await self._publish(item)
 
+    def value(self, key: str) -> bytes | None:
+        """Return the value of a key, or None."""
+        item = self.items.get(key)
+        return base64.b64decode(item["Value"]) if item else None
+
     async def remove(self, key: str) -> None:
         """Remove a key."""
         self.revision += 1
