--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,77 +1,95 @@
-"""All storage processes are killed while one machine is replaced for good."""
+"""The store loses the answer by which a storage machine takes a place."""
 
 from __future__ import annotations
 
 import asyncio
 
 from common.client import MOST_TOKENS, Program
+from common.machines import CATCH_UP_S, STABILITY_WINDOW_S
 from common.site import BROKEN, HELD, CaseError, Site, run_case
 
+PROGRAMS = 48
 ENTRIES = ("entry-a", "entry-b", "entry-c")
-BUDGET = 3 * MOST_TOKENS
-RECOVERY_S = 12.0
-TRAFFIC_S = 12.0
-JUDGED_S = 10.0
-PAUSE_S = 0.2
-# Killed processes are back within a second.
-RESTART_AFTER_S = 0.5
-# The new machine comes this long after the old one has gone.
-SUCCESSOR_AFTER_S = 1.0
+BUDGET = 20 * MOST_TOKENS
 NEW = "storage-a-2"
+WIPED = "storage-b"
+# The store loses one in three answers to writes, beginning with the first.
+LOST_FOR_S = 4.5
+LOST_EACH = 3
+DOWN_S = 2.0
 
 
 async def case(site: Site, trouble: bool) -> int:
-    """Serve turns, strike, wait for the recovery, and serve turns again."""
-    # Planned work before the traffic: each storage machine is stopped and started.
-    for name, storage in site.storages.items():
-        await storage.terminate()
-        await storage.start(bootstrap=False)
-        site.record.add(f"{name} got SIGTERM and was started again")
-        await asyncio.sleep(2.0)
-    await site.wait_ready()
+    """Replace one storage machine while answers are lost, then wipe another one."""
+    loop = asyncio.get_running_loop()
+    joined = asyncio.Event()
+    lossy_until_s = 0.0
+    writes = 0
 
-    served, sent = await _traffic(site, TRAFFIC_S, "before")
-    if served < sent / 4:
-        raise CaseError("under a quarter was served before the fault")
+    def on_write(machine: str) -> None:
+        site.record.add(f"{machine} wrote to the store")
+        if machine == NEW:
+            joined.set()
 
-    if trouble:
-        old = dict(site.storages)
-        await asyncio.gather(*(storage.kill() for storage in old.values()))
-        site.record.add("all storage processes killed; storage-a is gone for good")
-        await asyncio.sleep(RESTART_AFTER_S)
-        for name, storage in old.items():
-            if name != "storage-a":
-                await storage.start(bootstrap=False)
-                site.record.add(f"{name} restarted with its disk")
-        await asyncio.sleep(SUCCESSOR_AFTER_S - RESTART_AFTER_S)
-        new = await site.add_machine("storage", NEW, "north-a")
-        await new.start(bootstrap=False)
-        site.record.add(f"{NEW} started at a new address with an empty disk")
-    await asyncio.sleep(RECOVERY_S + 2.0)
+    def loses_answer(machine: str) -> bool:
+        nonlocal writes
+        if loop.time() >= lossy_until_s:
+            return False
+        writes += 1
+        lost = writes % LOST_EACH == 1
+        site.record.add(
+            f"write {writes} of the lossy time, by {machine}: answer "
+            + ("lost" if lost else "sent")
+        )
+        return lost
 
-    served, sent = await _traffic(site, JUDGED_S, "after")
-    if served >= sent / 4:
-        return HELD
-    site.record.add(
-        f"BROKEN: {served} of {sent} requests were served that were sent later than "
-        f"RecoveryS ({RECOVERY_S:g} s) after the machines were back"
-    )
-    return BROKEN
+    site.store.on_write = on_write
+    site.store.loses_answer = loses_answer
+    new = await site.add_machine("storage", NEW, "north-a")
+    await new.start(bootstrap=False)
+    site.record.add(f"{NEW} started, to replace storage-a")
+    await asyncio.sleep(CATCH_UP_S + STABILITY_WINDOW_S)
+    if not joined.is_set():
+        raise CaseError(f"{NEW} has not joined")
 
+    programs = [Program(name=f"p{n:02d}", budget=BUDGET) for n in range(PROGRAMS)]
+    for number, program in enumerate(programs):
+        for _ in range(2):
+            entry = ENTRIES[number % len(ENTRIES)]
+            answer = await site.turn_with_retries(entry, program)
+            if answer.status != 200:
+                raise CaseError("a turn was not served before the disruption")
 
-async def _traffic(site: Site, for_s: float, name: str) -> tuple[int, int]:
-    """Send turns of new programs; return how many were served and sent."""
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + for_s
-    served = sent = 0
-    while loop.time() < until_s:
-        program = Program(name=f"{name}-{sent}", budget=BUDGET)
-        answer = await site.turn(ENTRIES[sent % len(ENTRIES)], program)
-        sent += 1
-        served += answer.status == 200 and answer.whole
-        await asyncio.sleep(PAUSE_S)
-    site.record.add(f"{name} the fault: {served} of {sent} requests served")
-    return served, sent
+    leaving = asyncio.create_task(site.storages["storage-a"].terminate())
+    site.record.add("storage-a gets SIGTERM and leaves for good")
+    if trouble:
+        lossy_until_s = loop.time() + LOST_FOR_S
+    await leaving
+    await asyncio.sleep(LOST_FOR_S + CATCH_UP_S + STABILITY_WINDOW_S)
+
+    wiped = site.storages[WIPED]
+    await wiped.kill()
+    wiped.wipe_disk()
+    site.record.add(f"{WIPED} lost its disk")
+    await asyncio.sleep(DOWN_S)
+    await wiped.start(bootstrap=False)
+    site.record.add(f"{WIPED} restarted with an empty disk")
+    await asyncio.sleep(CATCH_UP_S + STABILITY_WINDOW_S)
+
+    lost = 0
+    for number, program in enumerate(programs):
+        age_s = loop.time() - program.answered_s
+        previous = program.turns[-1]
+        entry = ENTRIES[(number + 1) % len(ENTRIES)]
+        answer = await site.turn_with_retries(entry, program)
+        if answer.status in (404, 410):
+            lost += 1
+            site.record.add(
+                f"BROKEN: {program.name} got {answer.status} for turn {previous}, "
+                f"which was answered whole {age_s:.1f} s ago; RetentionS is 60"
+            )
+    site.record.add(f"{lost} of {PROGRAMS} conversations lost")
+    return BROKEN if lost else HELD
 
 
 run_case(case)
