--- a/review/common/machines.py
+++ b/review/common/machines.py
@@ -39,7 +39,7 @@
             try:
                 for port in range(first, first + 18):
                     with socket.socket() as probe:
-                        probe.bind(("0.0.0.0", port))
+                        probe.bind((f"{self._prefix}.1", port))
             except OSError:
                 continue
             return first, first + 1, first + 2
