Tie the completeness of a disk to the records it was assigned

The next lost disk held the last copy of some turns.

A member of the list now carries `assignment`, one more than the version of the list that its write replaced, and the disk whose records it takes over. Callers name the assignment that their list shows (ReadChain, Reserve, Probe), so that a disk that does not yet know its new slot cannot answer for it. What has to be copied is read from the list as well and survives a restart; progress is kept for one assignment. A disk that returns after it was replaced keeps its assignment, since it is given no records of others. The write of a founding member is recognized by its assignment when its answer was lost.

Lists and journals of earlier versions read as assignment 0.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from lentilroad.clock import Clock
 from lentilroad.conversation.calls import ConcurrentCalls
 from lentilroad.conversation.const import (
@@ -404,7 +406,7 @@
             return await self._call(
                 member.address,
                 READ_CHAIN,
-                ReadChain(turn_id=turn_id),
+                ReadChain(turn_id=turn_id, assignment=member.assignment),
                 timeout_s=READ_TIMEOUT_S,
             )
         except (LentilroadError, TimeoutError) as error:
@@ -416,7 +418,10 @@
     ) -> Ledger | None:
         try:
             return await self._call(
-                member.address, RESERVE, request, timeout_s=timeout_s
+                member.address,
+                RESERVE,
+                msgspec.structs.replace(request, assignment=member.assignment),
+                timeout_s=timeout_s,
             )
         except (LentilroadError, TimeoutError) as error:
             self._record_failure(member, error)
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from lentilroad.clock import Clock
 from lentilroad.conversation.const import (
     JOIN_RETRY_INTERVAL_S,
@@ -70,13 +72,21 @@
     write: Callable[[MemberList, int], Awaitable[int]]
 
 
+@dataclass(slots=True, kw_only=True)
+class _CopyProgress:
+    """Disks from which the records of one assignment were copied."""
+
+    assignment: int
+    copied_disks: set[str] = field(default_factory=set)
+
+
 class StorageMembership:
     """Manages the membership of this storage process.
 
     Parameters
     ----------
     member : Member
-        This process; its slot is set on joining.
+        Identity of this process; its slot and assignment are set on joining.
     new_disk : bool
         Whether the disk was empty at the start.
     first_start : bool
@@ -125,9 +135,10 @@
         self._random_share = random_share
         self._current_map = MemberMap(version=0, member_list=MemberList())
         self._started_s = clock.monotonic_s()
-        self._replaced_disk_id = ""
-        # Disks from which this disk copied since it joined or claimed its slot.
-        self._pulled_disks: set[str] = set()
+        # Assignment that this process wrote for a disk of a new deployment, which has
+        # no records to copy.
+        self._founding_assignment: int | None = None
+        self._copy_progress = _CopyProgress(assignment=0)
         self._unresponsive_since_s: dict[str, float] = {}
         self.retiring = False
 
@@ -183,56 +194,92 @@
             # same list; spreading their attempts avoids most write conflicts.
             await self._clock.sleep(JOIN_RETRY_INTERVAL_S * 2.0 * self._random_share())
 
+    def is_complete(self) -> bool:
+        """Return whether the disk has copied the records of its newest assignment."""
+        present = self._own_member()
+        return present is not None and self._replica.has_copied(present.assignment)
+
+    def _own_member(self) -> Member | None:
+        return self._current_map.member_list.find(self._replica.disk_id)
+
     async def _join(self) -> bool:
         current_map = await self._map_store.read()
         self.update_map(current_map)
-        present = current_map.member_list.find(self._replica.disk_id)
-        if present is not None and present.address == self._member.address:
-            self._member = present
-            return True
-        previous = next(
-            (m for m in current_map.member_list.members if m.node == self._member.node),
-            None,
-        )
-        slot = previous.slot if previous is not None else None
-        if previous is not None and previous.disk_id != self._replica.disk_id:
-            self._replaced_disk_id = previous.disk_id
-        forming = self._clock.monotonic_s() - self._started_s < FORMATION_TIMEOUT_S
-        if previous is None and self._first_start and forming:
-            slot = current_map.member_list.slot_count
-        new_member = _with_slot(self._member, slot)
-        version = await self._map_store.write(
-            with_member(current_map.member_list, new_member), current_map.version
+        present = self._own_member()
+        if present is None or present.address != self._member.address:
+            await self._write_own_member(current_map)
+        await self._complete_founding_disk()
+        return True
+
+    async def _write_own_member(self, current_map: MemberMap) -> None:
+        """Add this process to the list, in the slot of its node if it has one."""
+        member_list = current_map.member_list
+        present = member_list.find(self._replica.disk_id)
+        previous = present or next(
+            (m for m in member_list.members if m.node == self._member.node), None
         )
-        self._member = new_member
-        self.update_map(
-            MemberMap(
-                version=version,
-                member_list=with_member(current_map.member_list, new_member),
-            )
+        slot = None if previous is None else previous.slot
+        assignment = current_map.version + 1
+        replaced_disk_id = ""
+        if present is not None:
+            assignment = present.assignment
+            replaced_disk_id = present.replaced_disk_id
+        elif previous is not None:
+            replaced_disk_id = previous.disk_id
+        elif self._first_start and self._is_forming():
+            slot = member_list.slot_count
+            if self._new_disk:
+                self._founding_assignment = assignment
+        elif self._replica.copied_assignment is not None:
+            # The disk was replaced while it was unresponsive, and returns without a
+            # slot: it is assigned no records of other disks.
+            assignment = self._replica.copied_assignment
+        new_member = msgspec.structs.replace(
+            self._member,
+            slot=slot,
+            assignment=assignment,
+            replaced_disk_id=replaced_disk_id,
         )
+        await self._write_member(new_member, member_list, current_map.version)
         log_event(
             "storage_joined",
             disk=new_member.disk_id,
             slot=slot,
-            replaces=self._replaced_disk_id,
-            version=version,
+            assignment=assignment,
+            replaces=replaced_disk_id,
+            version=self._current_map.version,
         )
-        if self._first_start and self._new_disk and forming and previous is None:
-            await self._replica.mark_complete()
-        return True
+
+    async def _write_member(
+        self, new_member: Member, member_list: MemberList, version: int
+    ) -> None:
+        member_list = with_member(member_list, new_member)
+        new_version = await self._map_store.write(member_list, version)
+        self.update_map(MemberMap(version=new_version, member_list=member_list))
+
+    def _is_forming(self) -> bool:
+        return self._clock.monotonic_s() - self._started_s < FORMATION_TIMEOUT_S
+
+    async def _complete_founding_disk(self) -> None:
+        """Mark the disk as complete if it joined a deployment without records."""
+        present = self._own_member()
+        if (
+            present is not None
+            and present.assignment == self._founding_assignment
+            and self._is_forming()
+            and not self.is_complete()
+        ):
+            await self._replica.mark_copied(present.assignment)
 
     async def _maintain_membership(self) -> None:
         if self.retiring:
             return
-        present = self._current_map.member_list.find(self._replica.disk_id)
+        present = self._own_member()
         if present is None:
             # Another instance replaced this member while it was unresponsive.
-            self._member = _with_slot(self._member, None)
             await self._join()
             return
-        self._member = present
-        if not self._replica.complete:
+        if not self._replica.has_copied(present.assignment):
             unresponsive, incomplete = await self._find_unavailable_members()
             if not await self._replace(unresponsive, incomplete):
                 await self._catch_up(unresponsive, incomplete)
@@ -253,14 +300,23 @@
         enough copies without those on this disk.
         """
         current_map = self._current_map
+        present = self._own_member()
+        if present is None:
+            return
+        if self._copy_progress.assignment != present.assignment:
+            self._copy_progress = _CopyProgress(assignment=present.assignment)
+        copied_disks = self._copy_progress.copied_disks
         others = [
             member
             for member in self._other_members()
-            if member.disk_id not in self._pulled_disks and member not in unresponsive
+            if member.disk_id not in copied_disks and member not in unresponsive
         ]
         started_s = self._clock.monotonic_s()
         results = await asyncio.gather(
-            *(self._pull_records(member, current_map) for member in others),
+            *(
+                self._pull_records(member, present.replaced_disk_id, current_map)
+                for member in others
+            ),
             return_exceptions=True,
         )
         failed = [member.node for member in unresponsive]
@@ -268,7 +324,7 @@
             if isinstance(result, BaseException):
                 failed.append(member.node)
             else:
-                self._pulled_disks.add(member.disk_id)
+                copied_disks.add(member.disk_id)
         # A turn has `losses_tolerated + 1` copies. Besides the replaced disk, at most
         # `losses_tolerated - 1` disks may be missing. Disks that are still catching up
         # count as missing too. Once all members reply, every remaining copy has been
@@ -280,19 +336,22 @@
             return
         if self._current_map.version != current_map.version:
             return
-        await self._replica.mark_complete()
+        await self._replica.mark_copied(present.assignment)
         log_event(
             "storage_caught_up",
             disk=self._replica.disk_id,
+            assignment=present.assignment,
             members=len(others),
             elapsed_s=round(self._clock.monotonic_s() - started_s, 3),
         )
 
-    async def _pull_records(self, member: Member, current_map: MemberMap) -> None:
+    async def _pull_records(
+        self, member: Member, replaced_disk_id: str, current_map: MemberMap
+    ) -> None:
         # Sends the member list, so that the other member does not select the turns by
         # an older list, which still contains the replaced disk.
         request = PullRequest(
-            replaced_disk_id=self._replaced_disk_id,
+            replaced_disk_id=replaced_disk_id,
             map_version=current_map.version,
             members=encode_members(current_map.member_list),
         )
@@ -333,7 +392,10 @@
         # off. Disks that are catching up count as lost too: an unresponsive member may
         # store the last copy of a turn.
         lost_count = len(unresponsive) + len(incomplete)
-        if not self._replica.complete and self._member.slot is not None:
+        present = self._own_member()
+        if present is None:
+            return False
+        if present.slot is not None and not self.is_complete():
             lost_count += 1
         if lost_count > self._losses_tolerated:
             return False
@@ -353,22 +415,21 @@
         member_list = current_map.member_list
         for member in replaced:
             member_list = without_member(member_list, member.disk_id)
-        slot = self._member.slot
-        new_member = _with_slot(
-            self._member, free_slot(member_list) if slot is None else slot
+        present = self._own_member()
+        slot = None if present is None else present.slot
+        new_member = msgspec.structs.replace(
+            self._member,
+            slot=free_slot(member_list) if slot is None else slot,
+            assignment=current_map.version + 1,
+            replaced_disk_id=replaced[0].disk_id if replaced else "",
         )
-        member_list = with_member(member_list, new_member)
-        version = await self._map_store.write(member_list, current_map.version)
-        self._replica.complete = False
-        self._pulled_disks.clear()
-        self._replaced_disk_id = replaced[0].disk_id if replaced else ""
-        self._member = new_member
-        self.update_map(MemberMap(version=version, member_list=member_list))
+        await self._write_member(new_member, member_list, current_map.version)
         log_event(
             "storage_place_taken",
             slot=new_member.slot,
+            assignment=new_member.assignment,
             replaces=[member.node for member in replaced],
-            version=version,
+            version=self._current_map.version,
         )
 
     def _other_members(self) -> list[Member]:
@@ -381,7 +442,10 @@
     async def _probe(self, member: Member) -> ProbeReply | None:
         try:
             reply: ProbeReply = await self._call(
-                member.address, PROBE, ProbeRequest(), timeout_s=MEMBER_PROBE_TIMEOUT_S
+                member.address,
+                PROBE,
+                ProbeRequest(assignment=member.assignment),
+                timeout_s=MEMBER_PROBE_TIMEOUT_S,
             )
         except (LentilroadError, TimeoutError):
             # The member counts as unresponsive; its replacement is logged.
@@ -460,14 +524,3 @@
     missing = max(0, copies - len(holders))
     candidates = [disk for disk in disks if disk not in holders]
     return rank(turn_id, candidates)[:missing]
-
-
-def _with_slot(member: Member, slot: int | None) -> Member:
-    return Member(
-        node=member.node,
-        disk_id=member.disk_id,
-        address=member.address,
-        availability_zone=member.availability_zone,
-        region=member.region,
-        slot=slot,
-    )
--- a/lentilroad/conversation/members.py
+++ b/lentilroad/conversation/members.py
@@ -26,6 +26,12 @@
     slot : int or None
         Number by which programs select the members that store their grants; None for
         instances added later, which store no grants.
+    assignment : int
+        Identifies the records that the member stores in place of other disks: one more
+        than the version of the list that was replaced when they were assigned. The
+        disk counts as complete only once it has copied the records of this assignment.
+    replaced_disk_id : str
+        Disk whose records were assigned; empty for the records of any lost disk.
     """
 
     node: str
@@ -34,6 +40,8 @@
     availability_zone: str
     region: str
     slot: Annotated[int, msgspec.Meta(ge=0, lt=MAX_SLOT_COUNT)] | None = None
+    assignment: int = 0
+    replaced_disk_id: str = ""
 
 
 class MemberList(msgspec.Struct, kw_only=True, frozen=True):
@@ -80,8 +88,15 @@
 
 
 def with_member(member_list: MemberList, member: Member) -> MemberList:
-    """Return the list with a member added, which replaces any of the same node."""
-    others = tuple(m for m in member_list.members if m.node != member.node)
+    """Return the list with a member added.
+
+    It replaces any member of the same node or disk.
+    """
+    others = tuple(
+        m
+        for m in member_list.members
+        if m.node != member.node and m.disk_id != member.disk_id
+    )
     count = member_list.slot_count
     if member.slot is not None:
         count = max(count, member.slot + 1)
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -53,9 +53,16 @@
 
 
 class ReadChain(Message):
-    """Read a turn and the turns before it."""
+    """Read a turn and the turns before it.
+
+    Attributes
+    ----------
+    assignment : int
+        Assignment of the called member in the caller's member list.
+    """
 
     turn_id: str
+    assignment: int = 0
 
 
 class Chain(Message):
@@ -64,8 +71,8 @@
     Attributes
     ----------
     complete_disk : bool
-        Whether the disk stores all records that it should; only then does a missing
-        turn count as not found.
+        Whether the disk has copied the records of the requested assignment; only then
+        does a missing turn count as not found.
     turns : list of TurnRecord
         Newest first; empty if the disk lacks the requested turn.
     missing_id : str
@@ -101,13 +108,20 @@
 
 
 class Reserve(Message):
-    """Update an entry's grant, or only read the grants if `grant` is None."""
+    """Update an entry's grant, or only read the grants if `grant` is None.
+
+    Attributes
+    ----------
+    assignment : int
+        Assignment of the called member in the caller's member list.
+    """
 
     program_id: str
     map_version: int
     grant: Grant | None = None
     # Confirmations are not synced: a lost confirmation only costs a second read.
     skip_sync: bool = False
+    assignment: int = 0
 
 
 class Ledger(Message):
@@ -160,9 +174,16 @@
 
 
 class ProbeRequest(Message):
-    """Request the state of a storage process."""
+    """Request the state of a storage process.
+
+    Attributes
+    ----------
+    assignment : int
+        Assignment of the called member in the caller's member list.
+    """
 
     map_version: int = 0
+    assignment: int = 0
 
 
 class ProbeReply(Message):
@@ -170,6 +191,8 @@
 
     Attributes
     ----------
+    complete_disk : bool
+        Whether the disk has copied the records of the requested assignment.
     stalled : bool
         Whether a write has been in flight for longer than `DISK_STALL_S`.
     writable : bool
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -45,12 +45,22 @@
 
 
 class _JournalRecord(msgspec.Struct, array_like=True):
-    """One record of the journal; exactly one field is set."""
+    """One record of the journal: a turn, a ledger or the state of the disk.
+
+    Attributes
+    ----------
+    complete_as : str or None
+        Disk that copied the records of `copied_assignment`.
+    copied_assignment : int
+        See `lentilroad.conversation.members.Member.assignment`; 0 in journals and
+        member lists of versions without assignments.
+    """
 
     turn: TurnRecord | None = None
     ledger: Ledger | None = None
     complete_as: str | None = None
     min_map_version: int | None = None
+    copied_assignment: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -110,7 +120,8 @@
         update_members: Callable[[int, bytes], None],
     ) -> None:
         self.disk_id = disk_id
-        self.complete = False
+        # Newest assignment whose records this disk has copied; None if there is none.
+        self.copied_assignment: int | None = None
         self._journal = journal
         self._clock = clock
         self._disk_bytes = disk_bytes
@@ -141,8 +152,8 @@
                 age_s = max(0.0, wall_s - record.ledger.updated_s)
                 self._merge_ledger(record.ledger, segment, age_s)
                 _mark_synced(self._ledgers[record.ledger.program_id], record.ledger)
-            if record.complete_as is not None:
-                self.complete = record.complete_as == self.disk_id
+            if record.complete_as == self.disk_id:
+                self.copied_assignment = record.copied_assignment
             if record.min_map_version is not None:
                 self._min_map_version = record.min_map_version
                 self._synced_min_map_version = record.min_map_version
@@ -150,17 +161,23 @@
         log_event(
             "storage_recovered",
             disk=self.disk_id,
-            complete=self.complete,
+            copied_assignment=self.copied_assignment,
             turns=len(self._turns),
             programs=len(self._ledgers),
         )
 
-    async def mark_complete(self) -> None:
-        """Record that the disk has caught up and stores all records of its slot."""
+    def has_copied(self, assignment: int) -> bool:
+        """Return whether the disk stores all records of an assignment."""
+        return self.copied_assignment == assignment
+
+    async def mark_copied(self, assignment: int) -> None:
+        """Record that the disk stores all records of an assignment."""
         await self._journal.append(
-            _ENCODER.encode(_JournalRecord(complete_as=self.disk_id))
+            _ENCODER.encode(
+                _JournalRecord(complete_as=self.disk_id, copied_assignment=assignment)
+            )
         )
-        self.complete = True
+        self.copied_assignment = assignment
 
     def retire(self) -> None:
         """Refuse new turns and reservations: the disk is about to be removed."""
@@ -216,7 +233,7 @@
                 request=record.turn_id,
                 previous=record.previous_id,
                 segment=segment,
-                complete_disk=self.complete,
+                copied_assignment=self.copied_assignment,
             )
         return StoreReply(disk_id=self.disk_id)
 
@@ -232,7 +249,7 @@
             next_id = stored.record.previous_id
         return Chain(
             disk_id=self.disk_id,
-            complete_disk=self.complete,
+            complete_disk=self.has_copied(request.assignment),
             turns=turns,
             missing_id=next_id,
         )
@@ -252,10 +269,16 @@
                 f"disk {self.disk_id} is being retired or the member list of version "
                 f"{request.map_version} is outdated; read the member list again"
             )
-        if not self.complete:
+        if not self.has_copied(request.assignment):
+            map_version, _ = self._members()
+            if request.map_version < map_version:
+                raise StaleMapError(
+                    f"the member list of version {request.map_version} is outdated; "
+                    "read the member list again"
+                )
             raise NotCaughtUpError(
-                f"disk {self.disk_id} has not caught up; reserve at the other storage "
-                "members"
+                f"disk {self.disk_id} has not copied the records of assignment "
+                f"{request.assignment}; reserve at the other storage members"
             )
         stored = self._ledgers.get(request.program_id)
         grants = stored.grants if stored is not None else {}
@@ -341,7 +364,7 @@
         version, members = self._members()
         return ProbeReply(
             disk_id=self.disk_id,
-            complete_disk=self.complete,
+            complete_disk=self.has_copied(request.assignment),
             map_version=version,
             members=members,
             stalled=self._journal.pending_write_s() > DISK_STALL_S,
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -203,7 +203,7 @@
 
     telemetry = Telemetry()
     telemetry.add_gauge("turns_held", lambda: len(replica.turns()))
-    telemetry.add_gauge("disk_complete", lambda: int(replica.complete))
+    telemetry.add_gauge("disk_complete", lambda: int(joining.is_complete()))
     telemetry.add_gauge("disk_write_s", journal.pending_write_s)
     telemetry.add_gauge("disk_writable", lambda: int(replica.writable()))
     telemetry.add_gauge("disk_used_share", replica.used_share)
--- /dev/null
+++ b/tests/conversation/test_assignments.py
@@ -0,0 +1,301 @@
+"""A disk counts as complete only for the assignment whose records it has copied."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from lentilroad.conversation.allowance import GrantManager
+from lentilroad.conversation.client import StorageClient
+from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
+from lentilroad.conversation.members import MemberList, encode_members
+from lentilroad.conversation.messages import ReadChain, Reserve
+from lentilroad.errors import BudgetExhaustedError
+from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes.storage_cluster import (
+    StorageCluster,
+    StorageNode,
+    WriteOutcome,
+    turn,
+)
+
+CATCH_UP_S = 4.4
+REGIONS = ["dakar", "saint-louis", "thies"]
+TURNS = [f"t{number}" for number in range(20)]
+LOST_OUTCOMES = [WriteOutcome.UNANSWERED, WriteOutcome.LATE]
+
+
+async def _start_cluster() -> tuple[StorageCluster, StorageClient]:
+    cluster = StorageCluster(regions=REGIONS, losses_tolerated=1)
+    await cluster.form()
+    return cluster, cluster.client("dakar")
+
+
+async def _add_spare(cluster: StorageCluster) -> StorageNode:
+    spare = cluster.add("spare", "dakar")
+    spare.start()
+    await cluster.clock.sleep(CATCH_UP_S)
+    assert spare.membership.is_complete()
+    return spare
+
+
+async def _store_turns(client: StorageClient, turn_ids: list[str] = TURNS) -> None:
+    for turn_id in turn_ids:
+        await client.put_turn(turn(turn_id), key=turn_id)
+
+
+async def _spend_budget(
+    cluster: StorageCluster, client: StorageClient, program_ids: list[str] = TURNS
+) -> None:
+    """Reserve the whole budget of 100 tokens of each program."""
+    manager = _grant_manager(cluster, client)
+    for program_id in program_ids:
+        await manager.acquire(program_id, 100, 100)
+
+
+async def _check_turns_and_budgets(
+    cluster: StorageCluster, client: StorageClient, turn_ids: list[str] = TURNS
+) -> None:
+    manager = _grant_manager(cluster, client)
+    for turn_id in turn_ids:
+        found = await client.read_chain(turn_id, key=turn_id)
+        assert found[0].turn_id == turn_id
+        with pytest.raises(BudgetExhaustedError):
+            await manager.acquire(turn_id, 100, 100)
+
+
+def _grant_manager(cluster: StorageCluster, client: StorageClient) -> GrantManager:
+    return GrantManager(
+        reserve=client.reserve, confirm=client.confirm, clock=cluster.clock
+    )
+
+
+async def _counts_as_complete(cluster: StorageCluster, node: StorageNode) -> bool:
+    """Ask the disk as a caller that knows the newest member list does."""
+    version = cluster.member_store.member_map.version
+    chain = await node.replica.read_chain(
+        ReadChain(turn_id="unknown", assignment=node.assignment())
+    )
+    try:
+        await node.replica.reserve(
+            Reserve(
+                program_id="unknown", map_version=version, assignment=node.assignment()
+            )
+        )
+        reserves = True
+    except (NotCaughtUpError, StaleMapError):
+        reserves = False
+    assert chain.complete_disk == reserves
+    return reserves
+
+
+def _once(node: StorageNode, outcome: WriteOutcome) -> Callable[[MemberList], object]:
+    """Return outcomes of writes: the first list with the node in a slot is affected."""
+    affected = False
+
+    def outcome_of(member_list: MemberList) -> WriteOutcome:
+        nonlocal affected
+        member = member_list.find(node.replica.disk_id)
+        if affected or member is None or member.slot is None:
+            return WriteOutcome.ANSWERED
+        affected = True
+        return outcome
+
+    return outcome_of
+
+
+@pytest.mark.parametrize("outcome", LOST_OUTCOMES)
+def test_unanswered_claim_of_a_slot_loses_no_turns(outcome: WriteOutcome) -> None:
+    """Guard against turns lost with a slot that was taken without an answer (LOST)."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        spare = await _add_spare(cluster)
+        await _store_turns(client)
+        await _spend_budget(cluster, client)
+        cluster.member_store.write_outcome = _once(spare, outcome)
+        cluster.nodes["store-0"].kill()
+        await cluster.clock.sleep(2 * CATCH_UP_S)
+        cluster.nodes["store-1"].wipe()
+        await cluster.clock.sleep(1.0)
+        cluster.nodes["store-1"].start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        await _check_turns_and_budgets(cluster, cluster.client("thies", "entry-2"))
+
+    run_virtual(run())
+
+
+def test_member_killed_while_it_copies_is_incomplete_after_its_restart() -> None:
+    """Guard against a kill during a catch-up after which budgets are spent twice."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        spare = await _add_spare(cluster)
+        await _spend_budget(cluster, client)
+        await _store_turns(client)
+        cluster.nodes["store-0"].kill()
+        await _wait_for_slot(cluster, spare)
+        assert not await _counts_as_complete(cluster, spare)
+        spare.kill()
+        links = {("spare", f"store-{number}") for number in range(3)}
+        cluster.cut_links.update(links)
+        spare.start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert not await _counts_as_complete(cluster, spare)
+        cluster.cut_links -= links
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert await _counts_as_complete(cluster, spare)
+        await _check_turns_and_budgets(cluster, cluster.client("thies", "entry-2"))
+
+    run_virtual(run())
+
+
+async def _wait_for_slot(cluster: StorageCluster, node: StorageNode) -> None:
+    while True:
+        member_list = cluster.member_store.member_map.member_list
+        member = member_list.find(node.replica.disk_id)
+        if member is not None and member.slot is not None:
+            return
+        await cluster.clock.sleep(0.0005)
+
+
+@pytest.mark.parametrize("passed_on", [False, True])
+def test_disk_that_knows_an_older_list_is_incomplete_for_a_newer_one(
+    passed_on: bool,
+) -> None:
+    """Guard against a disk that counts while its callers already know its new slot."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        spare = await _add_spare(cluster)
+        await _spend_budget(cluster, client)
+        store = cluster.member_store
+        store.write_outcome = _once(spare, WriteOutcome.UNANSWERED)
+        store.watchers.remove(spare.membership.update_map)
+        cluster.nodes["store-0"].kill()
+        await _wait_for_slot(cluster, spare)
+        for number in (1, 2):
+            cluster.cut_links.add(("spare", f"store-{number}"))
+        if passed_on:
+            spare.membership.update_encoded_map(
+                store.member_map.version,
+                encode_members(store.member_map.member_list),
+            )
+        assert not await _counts_as_complete(cluster, spare)
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert not await _counts_as_complete(cluster, spare)
+
+    run_virtual(run())
+
+
+def test_disk_in_another_slot_is_incomplete_until_it_has_copied() -> None:
+    """Guard against grants of an old slot that count for a new one (BUDGET)."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        spare = await _add_spare(cluster)
+        returning = cluster.nodes["store-0"]
+        returning.kill()
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert spare.membership.is_complete()
+        await _spend_budget(cluster, client)
+        returning.start()
+        await cluster.clock.sleep(1.0)
+        assert await _counts_as_complete(cluster, returning)
+        cluster.nodes["store-1"].kill()
+        await _wait_for_slot(cluster, returning)
+        assert not await _counts_as_complete(cluster, returning)
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert await _counts_as_complete(cluster, returning)
+        await _check_budgets(cluster)
+
+    run_virtual(run())
+
+
+async def _check_budgets(cluster: StorageCluster) -> None:
+    manager = _grant_manager(cluster, cluster.client("thies", "entry-2"))
+    for turn_id in TURNS:
+        with pytest.raises(BudgetExhaustedError):
+            await manager.acquire(turn_id, 100, 100)
+
+
+@pytest.mark.parametrize("outcome", LOST_OUTCOMES)
+@pytest.mark.parametrize("killed", [False, True])
+def test_unanswered_join_of_an_empty_disk_loses_no_turns(
+    outcome: WriteOutcome, killed: bool
+) -> None:
+    """Guard against an empty disk that joined without an answer and stays empty."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        await _store_turns(client)
+        await _spend_budget(cluster, client)
+        joining = cluster.nodes["store-0"]
+        joining.wipe()
+        await cluster.clock.sleep(1.0)
+        joining.start()
+        cluster.member_store.write_outcome = _once(joining, outcome)
+        if killed:
+            await cluster.clock.sleep(0.3)
+            joining.kill()
+            await cluster.clock.sleep(0.5)
+            joining.start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        assert await _counts_as_complete(cluster, joining)
+        cluster.nodes["store-1"].wipe()
+        await _check_turns_and_budgets_after_restart(cluster)
+
+    run_virtual(run())
+
+
+async def _check_turns_and_budgets_after_restart(cluster: StorageCluster) -> None:
+    cluster.nodes["store-1"].start()
+    await cluster.clock.sleep(CATCH_UP_S)
+    await _check_turns_and_budgets(cluster, cluster.client("thies", "entry-2"))
+
+
+@pytest.mark.parametrize("outcome", LOST_OUTCOMES)
+def test_first_start_with_unanswered_writes_completes_all_disks(
+    outcome: WriteOutcome,
+) -> None:
+    """Guard against a first start after which no disk becomes complete (RECOVER)."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=REGIONS, losses_tolerated=1)
+        cluster.member_store.write_outcome = lambda member_list: outcome
+        await cluster.form()
+        members = cluster.member_store.member_map.member_list.members
+        assert sorted(member.slot for member in members) == [0, 1, 2]
+        for node in cluster.nodes.values():
+            assert await _counts_as_complete(cluster, node)
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("outcome", [WriteOutcome.ANSWERED, *LOST_OUTCOMES])
+def test_replaced_member_returns_with_the_records_of_its_disk(
+    outcome: WriteOutcome,
+) -> None:
+    """Guard against a returning disk whose own records no longer count."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        await _store_turns(client)
+        await _add_spare(cluster)
+        returning = cluster.nodes["store-0"]
+        returning.kill()
+        await cluster.clock.sleep(CATCH_UP_S)
+        outcomes = [outcome]
+        cluster.member_store.write_outcome = lambda member_list: (
+            outcomes.pop() if outcomes else WriteOutcome.ANSWERED
+        )
+        returning.start()
+        await cluster.clock.sleep(1.0)
+        assert await _counts_as_complete(cluster, returning)
+        cluster.nodes["store-1"].wipe()
+        for turn_id in TURNS:
+            found = await client.read_chain(turn_id, key=turn_id)
+            assert found[0].turn_id == turn_id
+
+    run_virtual(run())
--- a/tests/conversation/test_full_disks.py
+++ b/tests/conversation/test_full_disks.py
@@ -132,6 +132,7 @@
             program_id="p",
             map_version=cluster.member_store.member_map.version,
             grant=grant,
+            assignment=node.assignment(),
         )
         for _ in range(2):
             with pytest.raises(DiskRefusedError):
@@ -161,6 +162,7 @@
             program_id="p",
             map_version=cluster.member_store.member_map.version,
             grant=grant,
+            assignment=node.assignment(),
         )
         first = asyncio.ensure_future(node.replica.reserve(request))
         await cluster.clock.sleep(0.1)
--- a/tests/conversation/test_losses.py
+++ b/tests/conversation/test_losses.py
@@ -38,7 +38,7 @@
             1,
             2,
         ]
-        assert all(node.replica.complete for node in cluster.nodes.values())
+        assert all(node.membership.is_complete() for node in cluster.nodes.values())
 
     run_virtual(run())
 
@@ -145,7 +145,7 @@
             await cluster.clock.sleep(1.0)
             cluster.add(new, cluster.nodes[old].region).start()
             await cluster.clock.sleep(CATCH_UP_S)
-            assert cluster.nodes[new].replica.complete
+            assert cluster.nodes[new].membership.is_complete()
         names = {m.node for m in cluster.member_store.member_map.member_list.members}
         assert names == {"store-1", "store-3", "store-4"}
         assert (await client.read_chain("a", key="p"))[0].turn_id == "a"
@@ -219,8 +219,8 @@
         holders[1].kill()
         holders[0].start()
         await cluster.clock.sleep(1.0)
-        assert not holders[0].replica.complete
-        assert other.replica.complete
+        assert not holders[0].membership.is_complete()
+        assert other.membership.is_complete()
         with pytest.raises(UnavailableError):
             await client.read_chain("a", key="p")
 
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import random
-from collections.abc import AsyncGenerator, Iterator
+from collections.abc import AsyncGenerator, Callable, Iterator
 from typing import Any
 
 from lentilroad.clock import Clock, LoopClock
@@ -35,6 +36,8 @@
 IN_REGION_LATENCY_S = 0.001
 CROSS_REGION_LATENCY_S = 0.012
 SYNC_DURATION_S = 0.001
+# A write that is done late takes effect after the writer has read the list again.
+LATE_WRITE_S = 0.2
 
 
 class MemoryJournal:
@@ -88,6 +91,14 @@
         return 10.0 if self.stalled else 0.0
 
 
+class WriteOutcome(enum.Enum):
+    """What happens to one write: its effect and its answer may both be missing."""
+
+    ANSWERED = "answered"
+    UNANSWERED = "done, without an answer"
+    LATE = "done after the caller has given up"
+
+
 class MemoryMemberStore:
     """Member list in a metadata store.
 
@@ -101,6 +112,8 @@
         Number of writes that were attempted, including refused ones.
     notify_delay_s : float
         Delay after which watchers are notified of a change.
+    write_outcome : callable
+        Returns for a written list what happens to the write; see `WriteOutcome`.
     """
 
     def __init__(self) -> None:
@@ -108,6 +121,9 @@
         self.unavailable = False
         self.write_attempts = 0
         self.notify_delay_s = 0.0
+        self.write_outcome: Callable[[MemberList], WriteOutcome] = lambda member_list: (
+            WriteOutcome.ANSWERED
+        )
         self.watchers: list[Any] = []
 
     async def read(self) -> MemberMap:
@@ -123,10 +139,23 @@
         await asyncio.sleep(0.004)
         if self.unavailable:
             raise UnavailableError("the metadata store is unavailable; retry later")
-        if version != self.member_map.version:
+        outcome = self.write_outcome(member_list)
+        if outcome is WriteOutcome.LATE:
+            asyncio.get_running_loop().call_later(
+                LATE_WRITE_S, self._replace_if_unchanged, member_list, version
+            )
+            raise UnavailableError("the metadata store does not answer; retry later")
+        if not self._replace_if_unchanged(member_list, version):
             raise ConflictError(
                 "the member list was changed concurrently; read it again"
             )
+        if outcome is WriteOutcome.UNANSWERED:
+            raise UnavailableError("the metadata store does not answer; retry later")
+        return self.member_map.version
+
+    def _replace_if_unchanged(self, member_list: MemberList, version: int) -> bool:
+        if version != self.member_map.version:
+            return False
         self.member_map = MemberMap(version=version + 1, member_list=member_list)
         for watcher in self.watchers:
             if self.notify_delay_s:
@@ -135,7 +164,7 @@
                 )
             else:
                 watcher(self.member_map)
-        return self.member_map.version
+        return True
 
 
 class StorageNode:
@@ -221,6 +250,14 @@
         self.kill()
         self.new_disk()
 
+    def assignment(self) -> int:
+        """Return the assignment of the disk in the stored member list."""
+        member = self.cluster.member_store.member_map.member_list.find(
+            self.replica.disk_id
+        )
+        assert member is not None
+        return member.assignment
+
     def stores(self, turn_id: str) -> bool:
         """Return whether the disk stores a turn."""
         return any(record.turn_id == turn_id for record in self.replica.turns())
