Keep a conversation on all of its disks while it goes on

Cause: each disk computed by itself how long it keeps a turn. A new turn extended the turns before it only on its own disks, so that the other copy of an early turn expired. The same held for copies (their age counted, not what extended them), restarts (extensions were in memory only), members that were cut off, and for grants, which were kept for 180 s whatever RetentionS says and on each disk by the changes that it happened to receive.

All records of a conversation on a disk now have one expiry. Records name their conversation and the disks of its earlier turns, and storage members announce extensions of more than 30 s to each other in one call each 10 s. A disk drops a record only after all but `losses_tolerated` of the other members have called since its expiry, so a member that heard nothing drops nothing, and a restarted one is told all again before a call counts. Copies carry the lifetime.

--- a/lentilroad/conversation/allowance.py
+++ b/lentilroad/conversation/allowance.py
@@ -31,6 +31,7 @@
         "reserved_tokens",
         "revision",
         "pending_acquires",
+        "retention_s",
         "used_tokens",
     )
 
@@ -42,6 +43,7 @@
         self.used_tokens = 0
         self.reserved_tokens = 0
         self.revision = 0
+        self.retention_s = 0.0
         self.pending_acquires = 0
         self.idle_since_s = now_s
         self.lock = asyncio.Lock()
@@ -57,6 +59,7 @@
             confirmed_tokens=self.granted_tokens,
             needed_tokens=self.needed_tokens() + acquiring_tokens,
             revision=self.revision,
+            retention_s=self.retention_s,
         )
 
 
@@ -85,10 +88,20 @@
         self._background: set[asyncio.Task[None]] = set()
 
     async def acquire(
-        self, program_id: str, max_tokens: int, budget_tokens: int
+        self,
+        program_id: str,
+        max_tokens: int,
+        budget_tokens: int,
+        *,
+        retention_s: float = 0.0,
     ) -> None:
         """Reserve the maximum number of tokens that one turn generates.
 
+        Parameters
+        ----------
+        retention_s : float
+            Time after this turn within which the program may return, in seconds.
+
         Raises
         ------
         BudgetExhaustedError
@@ -100,6 +113,7 @@
         if program is None:
             program = _ProgramGrant(now_s=self._clock.monotonic_s())
             self._programs[program_id] = program
+        program.retention_s = max(program.retention_s, retention_s)
         async with program.lock:
             program.pending_acquires += 1
             try:
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -5,8 +5,14 @@
 # Extends the retention of turns: the wall clock may step by seconds between write and
 # expiry.
 RETENTION_MARGIN_S = 60.0
-# A program that was stopped may resume within the retention of its turns.
+# Shortest retention of a program's grants. A program may return within the retention of
+# its turns, by which the grants are kept longer if it exceeds this time.
 LEDGER_RETENTION_S = 180.0
+# Extension of a lifetime that is announced to the other disks of the same records. It
+# leaves half of the margin for the announcement.
+ANNOUNCE_EXTENSION_S = RETENTION_MARGIN_S / 2
+LIFETIME_EXCHANGE_INTERVAL_S = 10.0
+LIFETIME_EXCHANGE_TIMEOUT_S = 4.0
 SEGMENT_BYTES = 4 * 1024 * 1024
 # Above this used share a disk refuses new turns, which then go to other disks, until
 # old turns expire: acknowledged turns are never removed early.
--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -359,7 +359,9 @@
             member.address, PULL, request, timeout_s=PULL_TIMEOUT_S
         ):
             if batch.turns:
-                await self._replica.put_turns(PutTurns(turns=batch.turns))
+                await self._replica.put_turns(
+                    PutTurns(turns=batch.turns, lifetimes=batch.lifetimes)
+                )
             if batch.ledgers:
                 await self._replica.put_ledgers(PutLedgers(ledgers=batch.ledgers))
 
@@ -492,10 +494,11 @@
 
     async def _push_records(self, member: Member, turns: list[TurnRecord]) -> None:
         for start in range(0, len(turns), PUSH_BATCH_TURNS):
+            batch = turns[start : start + PUSH_BATCH_TURNS]
             await self._call(
                 member.address,
                 PUT_TURNS,
-                PutTurns(turns=turns[start : start + PUSH_BATCH_TURNS]),
+                PutTurns(turns=batch, lifetimes=self._replica.lifetimes(batch)),
                 timeout_s=PULL_TIMEOUT_S,
             )
         ledgers = self._replica.ledgers()
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -28,6 +28,13 @@
         Disks to which the record may have been sent; some of them may lack it.
     written_s : float
         Unix time of the write, in seconds.
+    conversation_id : str
+        Id of the first turn of the chain; empty in records of versions that did not
+        store it.
+    conversation_disks : list of str
+        Disks to which the previous turns of the chain may have been sent.
+    kept_until_s : float
+        Unix time until which each of the previous turns is retained without this one.
     """
 
     turn_id: str
@@ -38,12 +45,37 @@
     holders: list[str]
     retention_s: float
     written_s: float = 0.0
+    conversation_id: str = ""
+    conversation_disks: list[str] = []
+    kept_until_s: float = 0.0
+
+
+class Lifetime(Message):
+    """Remaining lifetime of the records of a conversation or program.
+
+    Attributes
+    ----------
+    key : str
+        See `lentilroad.conversation.lifetimes`.
+    remaining_s : float
+        Time for which the records are still needed, in seconds.
+    """
+
+    key: str
+    remaining_s: float
 
 
 class PutTurns(Message):
-    """Store turns; the reply is sent after they are synced."""
+    """Store turns; the reply is sent after they are synced.
+
+    Attributes
+    ----------
+    lifetimes : list of Lifetime
+        Lifetimes of the conversations of copied turns; empty for new turns.
+    """
 
     turns: list[TurnRecord]
+    lifetimes: list[Lifetime] = []
 
 
 class StoreReply(Message):
@@ -98,6 +130,8 @@
         Part of `tokens` that is used or reserved by turns in flight.
     revision : int
         Revision of the grant; older revisions are ignored.
+    retention_s : float
+        Retention of the program's turns, within which it may return, in seconds.
     """
 
     grant_id: str
@@ -105,6 +139,7 @@
     confirmed_tokens: int
     needed_tokens: int
     revision: int
+    retention_s: float = 0.0
 
 
 class Reserve(Message):
@@ -161,10 +196,42 @@
 
 
 class PullBatch(Message):
-    """Batch of the requested records."""
+    """Batch of the requested records and the lifetimes of their conversations."""
 
     turns: list[TurnRecord]
     ledgers: list[Ledger]
+    lifetimes: list[Lifetime] = []
+
+
+class ExtendLifetimes(Message):
+    """Announce how long records are kept, to a member that stores some of them.
+
+    Attributes
+    ----------
+    disk_id : str
+        Disk of the sender.
+    copied_assignment : int or None
+        Assignment whose records the sender has copied.
+    receiver_process_id : str
+        Process that confirmed the earlier announcements; empty before the first call.
+    """
+
+    disk_id: str
+    copied_assignment: int | None
+    receiver_process_id: str
+    lifetimes: list[Lifetime]
+
+
+class LifetimesReply(Message):
+    """Confirmation of announced lifetimes.
+
+    Attributes
+    ----------
+    process_id : str
+        Changes with each start of the process, which forgets the announcements.
+    """
+
+    process_id: str
 
 
 class PutLedgers(Message):
@@ -279,6 +346,11 @@
 PROBE = Method(
     path="/lentilroad.Storage/Probe", request_type=ProbeRequest, reply_type=ProbeReply
 )
+EXTEND_LIFETIMES = Method(
+    path="/lentilroad.Storage/ExtendLifetimes",
+    request_type=ExtendLifetimes,
+    reply_type=LifetimesReply,
+)
 ANNOUNCE = Method(
     path="/lentilroad.Storage/Announce",
     request_type=Announcement,
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -23,10 +23,16 @@
     StaleMapError,
 )
 from lentilroad.conversation.journal import Journal
+from lentilroad.conversation.lifetimes import (
+    LifetimeTable,
+    conversation_key,
+    program_key,
+)
 from lentilroad.conversation.messages import (
     Chain,
     Grant,
     Ledger,
+    Lifetime,
     ProbeReply,
     ProbeRequest,
     PullBatch,
@@ -65,19 +71,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class _StoredTurn:
-    """Turn in memory, its expiry and the journal segment of its record."""
+    """Turn in memory, its conversation and the journal segment of its record."""
 
     record: TurnRecord
-    expires_s: float
+    conversation_id: str
     segment: int
 
 
 @dataclass(slots=True, kw_only=True)
 class _StoredLedger:
-    """Grants of one program, their expiry and the newest journal segment in use."""
+    """Grants of one program and the newest journal segment in use."""
 
     grants: dict[str, Grant]
-    expires_s: float
     segment: int
     # Newest revision of each grant that is synced to the disk.
     synced_revisions: dict[str, int] = field(default_factory=dict)
@@ -106,6 +111,10 @@
         an older list.
     update_members : callable
         Called with the version and the encoded member list that another member sent.
+    lifetimes : LifetimeTable
+        Lifetimes of the stored records.
+    confirmed_until_s : callable
+        See `lentilroad.conversation.lifetimes.LifetimeExchange`.
     """
 
     def __init__(
@@ -118,6 +127,8 @@
         member_disks: Callable[[], set[str]],
         members: Callable[[], tuple[int, bytes]],
         update_members: Callable[[int, bytes], None],
+        lifetimes: LifetimeTable,
+        confirmed_until_s: Callable[[], float],
     ) -> None:
         self.disk_id = disk_id
         # Newest assignment whose records this disk has copied; None if there is none.
@@ -128,6 +139,8 @@
         self._member_disks = member_disks
         self._members = members
         self._update_members = update_members
+        self._lifetimes = lifetimes
+        self._confirmed_until_s = confirmed_until_s
         self._min_map_version = 0
         # Newest value of `_min_map_version` that is synced to the disk.
         self._synced_min_map_version = 0
@@ -228,6 +241,8 @@
         )
         for record, segment in zip(request.turns, segments, strict=True):
             self._add_turn(record, segment, max(0.0, now_s - record.written_s))
+        self._extend_lifetimes(request.lifetimes)
+        for record, segment in zip(request.turns, segments, strict=True):
             log_event(
                 "turn_stored",
                 request=record.turn_id,
@@ -323,6 +338,7 @@
             batch.turns.append(stored.record)
             size_bytes += len(stored.record.input) + len(stored.record.output)
             if size_bytes >= PULL_BATCH_BYTES:
+                batch.lifetimes = self.lifetimes(batch.turns)
                 yield batch
                 batch = PullBatch(turns=[], ledgers=[])
                 size_bytes = 0
@@ -335,6 +351,7 @@
                     updated_s=now_s,
                 )
             )
+        batch.lifetimes = self.lifetimes(batch.turns)
         yield batch
 
     async def put_ledgers(self, request: PutLedgers) -> StoreReply:
@@ -395,6 +412,19 @@
         """Return all stored turns."""
         return [stored.record for stored in self._turns.values()]
 
+    def lifetimes(self, turns: list[TurnRecord]) -> list[Lifetime]:
+        """Return the lifetimes of the conversations of stored turns."""
+        now_s = self._clock.monotonic_s()
+        keys = {
+            conversation_key(self._turns[turn.turn_id].conversation_id)
+            for turn in turns
+            if turn.turn_id in self._turns
+        }
+        return [
+            Lifetime(key=key, remaining_s=self._lifetimes.expires_s(key) - now_s)
+            for key in keys
+        ]
+
     def ledgers(self) -> list[Ledger]:
         """Return the grants of all programs."""
         return [
@@ -404,13 +434,15 @@
 
     def sweep(self) -> None:
         """Evict expired turns and grants, and remove unused segments."""
-        now_s = self._clock.monotonic_s()
-        for turn_id, stored in list(self._turns.items()):
-            if stored.expires_s <= now_s:
-                del self._turns[turn_id]
-        for program_id, ledger in list(self._ledgers.items()):
-            if ledger.expires_s <= now_s:
-                del self._ledgers[program_id]
+        limit_s = min(self._clock.monotonic_s(), self._confirmed_until_s())
+        expired = self._lifetimes.pop_expired(limit_s)
+        if expired:
+            for turn_id, stored in list(self._turns.items()):
+                if conversation_key(stored.conversation_id) in expired:
+                    del self._turns[turn_id]
+            for program_id in list(self._ledgers):
+                if program_key(program_id) in expired:
+                    del self._ledgers[program_id]
         self._remove_unused_segments()
 
     def _remove_unused_segments(self) -> None:
@@ -462,24 +494,45 @@
             _mark_synced(stored, ledger)
 
     def _add_turn(self, record: TurnRecord, segment: int, age_s: float) -> None:
-        lifetime_s = record.retention_s + RETENTION_MARGIN_S - age_s
-        expires_s = self._clock.monotonic_s() + lifetime_s
+        now_s = self._clock.monotonic_s()
+        expires_s = now_s + record.retention_s + RETENTION_MARGIN_S - age_s
+        assured_s = expires_s
+        if record.previous_id and record.kept_until_s:
+            kept_s = record.kept_until_s - self._clock.time_s()
+            assured_s = now_s + kept_s + RETENTION_MARGIN_S
+        conversation_id = self._conversation_id(record)
         self._turns[record.turn_id] = _StoredTurn(
-            record=record, expires_s=expires_s, segment=segment
+            record=record, conversation_id=conversation_id, segment=segment
         )
-        # A turn extends the retention of all turns before it.
+        self._lifetimes.extend(
+            conversation_key(conversation_id),
+            expires_s=expires_s,
+            assured_s=assured_s,
+            disks=[*record.holders, *record.conversation_disks],
+        )
+
+    def _conversation_id(self, record: TurnRecord) -> str:
+        if record.conversation_id:
+            return record.conversation_id
         previous = self._turns.get(record.previous_id)
-        while previous is not None and previous.expires_s < expires_s:
-            previous.expires_s = expires_s
-            previous = self._turns.get(previous.record.previous_id)
+        return record.turn_id if previous is None else previous.conversation_id
+
+    def _extend_lifetimes(self, lifetimes: list[Lifetime]) -> None:
+        now_s = self._clock.monotonic_s()
+        for lifetime in lifetimes:
+            self._lifetimes.extend_known(lifetime.key, now_s + lifetime.remaining_s)
 
     def _merge_ledger(self, ledger: Ledger, segment: int, age_s: float) -> None:
-        expires_s = self._clock.monotonic_s() + LEDGER_RETENTION_S - age_s
+        retention_s = max((grant.retention_s for grant in ledger.grants), default=0.0)
+        lifetime_s = max(LEDGER_RETENTION_S, retention_s + 2 * RETENTION_MARGIN_S)
+        self._lifetimes.extend(
+            program_key(ledger.program_id),
+            expires_s=self._clock.monotonic_s() + lifetime_s - age_s,
+        )
         stored = self._ledgers.get(ledger.program_id)
         if stored is None:
-            stored = _StoredLedger(grants={}, expires_s=expires_s, segment=segment)
+            stored = _StoredLedger(grants={}, segment=segment)
             self._ledgers[ledger.program_id] = stored
-        stored.expires_s = max(stored.expires_s, expires_s)
         stored.segment = max(stored.segment, segment)
         for grant in ledger.grants:
             current = stored.grants.get(grant.grant_id)
--- a/lentilroad/conversation/turns.py
+++ b/lentilroad/conversation/turns.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from lentilroad.clock import Clock
 from lentilroad.conversation.allowance import GrantManager
 from lentilroad.conversation.client import StorageClient
 from lentilroad.conversation.const import HISTORY_CACHE_BYTES
@@ -27,13 +29,28 @@
         Input and output of each turn, oldest first.
     instance_id : str
         Upstream instance that ran the newest turn.
+    conversation_id : str
+        Id of the first turn; empty without turns.
+    disks : frozenset of str
+        Disks to which the turns may have been sent.
+    kept_until_s : float
+        Unix time until which each of the turns is retained without a further turn.
     """
 
     text: bytes
     instance_id: str
+    conversation_id: str
+    disks: frozenset[str]
+    kept_until_s: float
 
 
-_NO_HISTORY = History(text=b"", instance_id="")
+_NO_HISTORY = History(
+    text=b"",
+    instance_id="",
+    conversation_id="",
+    disks=frozenset(),
+    kept_until_s=math.inf,
+)
 
 
 class HistoryCache:
@@ -86,7 +103,9 @@
 
     __slots__ = (
         "_cache",
+        "_clock",
         "_event_tokens",
+        "_history",
         "_inbound",
         "_retention_s",
         "_storage",
@@ -104,12 +123,15 @@
         event_tokens: int,
         storage: StorageClient,
         cache: HistoryCache,
+        clock: Clock,
     ) -> None:
         self._inbound = inbound
         self._retention_s = retention_s
         self._event_tokens = event_tokens
         self._storage = storage
         self._cache = cache
+        self._clock = clock
+        self._history = history
         self.events = EventReader(collect_output=retention_s is not None)
         self.body = history.text + inbound.body
         self.preferred_instance = history.instance_id
@@ -129,7 +151,10 @@
         if self._retention_s is None:
             return
         inbound = self._inbound
+        history = self._history
+        conversation_id = history.conversation_id or inbound.request_id
         output = bytes(self.events.output)
+        kept_until_s = self._clock.time_s() + self._retention_s
         record = TurnRecord(
             turn_id=inbound.request_id,
             previous_id=inbound.previous_turn_id,
@@ -138,13 +163,22 @@
             instance_id=instance_id,
             holders=[],
             retention_s=self._retention_s,
+            conversation_id=conversation_id,
+            conversation_disks=sorted(history.disks),
+            kept_until_s=history.kept_until_s if inbound.previous_turn_id else 0.0,
         )
         await self._storage.put_turn(
             record, key=inbound.program_id or inbound.request_id
         )
         self._cache.put(
             inbound.request_id,
-            History(text=self.body + output, instance_id=instance_id),
+            History(
+                text=self.body + output,
+                instance_id=instance_id,
+                conversation_id=conversation_id,
+                disks=history.disks.union(record.holders),
+                kept_until_s=min(history.kept_until_s, kept_until_s),
+            ),
         )
 
 
@@ -157,11 +191,16 @@
         Client of the storage members.
     grant_manager : GrantManager
         Token grants of this entry.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ("_cache", "_grant_manager", "_storage")
+    __slots__ = ("_cache", "_clock", "_grant_manager", "_storage")
 
-    def __init__(self, *, storage: StorageClient, grant_manager: GrantManager) -> None:
+    def __init__(
+        self, *, storage: StorageClient, grant_manager: GrantManager, clock: Clock
+    ) -> None:
+        self._clock = clock
         self._storage = storage
         self._grant_manager = grant_manager
         self._cache = HistoryCache(max_bytes=HISTORY_CACHE_BYTES)
@@ -205,6 +244,7 @@
                     inbound.program_id,
                     inbound.max_output_tokens,
                     inbound.budget_tokens,
+                    retention_s=retention_s or 0.0,
                 )
                 reserved = True
             turn = Turn(
@@ -214,6 +254,7 @@
                 event_tokens=event_tokens,
                 storage=self._storage,
                 cache=self._cache,
+                clock=self._clock,
             )
             yield turn
         finally:
@@ -241,7 +282,13 @@
             turns=len(records),
         )
         history = History(
-            text=_join_records(reversed(records)), instance_id=records[0].instance_id
+            text=_join_records(reversed(records)),
+            instance_id=records[0].instance_id,
+            conversation_id=records[0].conversation_id or records[-1].turn_id,
+            disks=frozenset().union(*(record.holders for record in records)),
+            kept_until_s=min(
+                record.written_s + record.retention_s for record in records
+            ),
         )
         self._cache.put(previous_id, history)
         return history
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -137,7 +137,7 @@
         decode=decode_request,
         protocol=worker_protocol(),
         dispatcher=dispatcher,
-        turns=TurnManager(storage=storage, grant_manager=grant_manager),
+        turns=TurnManager(storage=storage, grant_manager=grant_manager, clock=clock),
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -13,12 +13,14 @@
 from lentilroad.connection.server import start_server
 from lentilroad.conversation.const import (
     DISK_RETRY_S,
+    LIFETIME_EXCHANGE_INTERVAL_S,
     SEGMENT_BYTES,
     SWEEP_INTERVAL_S,
 )
 from lentilroad.conversation.disk_id import read_disk_id
 from lentilroad.conversation.joining import MemberMapStore, StorageMembership
 from lentilroad.conversation.journal import Journal
+from lentilroad.conversation.lifetimes import LifetimeExchange, LifetimeTable
 from lentilroad.conversation.members import (
     Member,
     MemberList,
@@ -29,6 +31,7 @@
 )
 from lentilroad.conversation.messages import (
     ANNOUNCE,
+    EXTEND_LIFETIMES,
     PROBE,
     PULL,
     PUT_LEDGERS,
@@ -103,6 +106,7 @@
             member.disk_id for member in member_map.member_list.members
         )
 
+    lifetime_table = LifetimeTable()
     replica = Replica(
         journal=journal,
         disk_id=disk_id,
@@ -116,6 +120,17 @@
         update_members=lambda version, members: joining.update_encoded_map(
             version, members
         ),
+        lifetimes=lifetime_table,
+        confirmed_until_s=lambda: lifetimes.confirmed_until_s(),
+    )
+    lifetimes = LifetimeExchange(
+        table=lifetime_table,
+        disk_id=disk_id,
+        copied_assignment=lambda: replica.copied_assignment,
+        member_map=lambda: current_map,
+        call=peers.call,
+        clock=clock,
+        losses_tolerated=settings.losses_tolerated,
     )
     replica.recover()
     rate_limits = RateLimitCoordinator(
@@ -185,6 +200,7 @@
             PUT_LEDGERS: replica.put_ledgers,
             WHICH_TURNS: replica.which_turns,
             PROBE: replica.probe,
+            EXTEND_LIFETIMES: lifetimes.receive,
             ANNOUNCE: EntryRegistry(clock=clock).announce,
             ACQUIRE_PERMITS: rate_limits.acquire,
             REPORT_CRASH: crashes.report,
@@ -225,6 +241,7 @@
             reader.check_regularly(),
             lists.compare_regularly(),
             run_periodically(_as_async(replica.sweep), SWEEP_INTERVAL_S, clock),
+            run_periodically(lifetimes.send, LIFETIME_EXCHANGE_INTERVAL_S, clock),
             run_periodically(replica.retry_refused_write, DISK_RETRY_S, clock),
         ],
         stop,
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -70,7 +70,9 @@
         permits = CoordinatorGroup(clock=clock).client("entry")
     crashes = fields.get("crashes") or CrashCoordinatorGroup(clock=clock)
     suspects = crashes.entry(fields.get("address", "entry"), directory)
-    turns = fields.get("turns") or TurnManager(storage=None, grant_manager=None)
+    turns = fields.get("turns") or TurnManager(
+        storage=None, grant_manager=None, clock=clock
+    )
     ingress = Ingress(
         table=lambda: state.table,
         decode=decode_request,
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -10,8 +10,13 @@
 
 from lentilroad.clock import Clock, LoopClock
 from lentilroad.conversation.client import Location, StorageClient
+from lentilroad.conversation.const import (
+    LIFETIME_EXCHANGE_INTERVAL_S,
+    SWEEP_INTERVAL_S,
+)
 from lentilroad.conversation.errors import DiskRefusedError
 from lentilroad.conversation.joining import MemberMapStore, StorageMembership
+from lentilroad.conversation.lifetimes import LifetimeExchange, LifetimeTable
 from lentilroad.conversation.members import (
     Member,
     MemberList,
@@ -20,6 +25,7 @@
 )
 from lentilroad.conversation.messages import (
     ANNOUNCE,
+    EXTEND_LIFETIMES,
     PROBE,
     PULL,
     PUT_LEDGERS,
@@ -179,10 +185,11 @@
         self.running = False
         self.replica: Replica
         self.entries: EntryRegistry
+        self.lifetimes: LifetimeExchange
         self.membership: StorageMembership
         self.journal: MemoryJournal
         self._member_map = MemberMap(version=0, member_list=MemberList())
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self.new_disk()
 
     def new_disk(self) -> None:
@@ -193,6 +200,7 @@
     def start(self, *, first_start: bool = False) -> None:
         """Start the process on its disk."""
         disk_id = f"disk-{self.name}-{self.disk_count}"
+        table = LifetimeTable()
         self.replica = Replica(
             journal=self.journal,
             disk_id=disk_id,
@@ -208,7 +216,19 @@
             update_members=lambda version, members: self.membership.update_encoded_map(
                 version, members
             ),
+            lifetimes=table,
+            confirmed_until_s=lambda: self.lifetimes.confirmed_until_s(),
         )
+        self.lifetimes = LifetimeExchange(
+            table=table,
+            disk_id=disk_id,
+            copied_assignment=lambda: self.replica.copied_assignment,
+            member_map=lambda: self._member_map,
+            call=self.cluster.caller(self.region, self.name),
+            clock=self.cluster.clock,
+            losses_tolerated=self.cluster.losses_tolerated,
+        )
+        self._member_map = MemberMap(version=0, member_list=MemberList())
         self.replica.recover()
         self.membership = StorageMembership(
             member=Member(
@@ -235,13 +255,26 @@
         self.cluster.member_store.watchers.append(self.membership.update_map)
         self.entries = EntryRegistry(clock=self.cluster.clock)
         self.running = True
-        self._task = asyncio.create_task(self.membership.run())
+        self._tasks = [
+            asyncio.create_task(self.membership.run()),
+            asyncio.create_task(self._maintain_lifetimes()),
+        ]
+
+    async def _maintain_lifetimes(self) -> None:
+        """Drop expired records and exchange lifetimes, as the storage process does."""
+        clock = self.cluster.clock
+        steps = round(LIFETIME_EXCHANGE_INTERVAL_S / SWEEP_INTERVAL_S)
+        while True:
+            for _ in range(steps):
+                await clock.sleep(SWEEP_INTERVAL_S)
+                self.replica.sweep()
+            await self.lifetimes.send()
 
     def kill(self) -> None:
         """Kill the process and retain its disk."""
         self.running = False
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         if self.membership.update_map in self.cluster.member_store.watchers:
             self.cluster.member_store.watchers.remove(self.membership.update_map)
 
@@ -327,6 +360,7 @@
                     PUT_LEDGERS: node.replica.put_ledgers,
                     WHICH_TURNS: node.replica.which_turns,
                     PROBE: node.replica.probe,
+                    EXTEND_LIFETIMES: node.lifetimes.receive,
                     ANNOUNCE: node.entries.announce,
                 }
                 reply = await handlers[method](request)
--- a/tests/platform/test_unreadable_content.py
+++ b/tests/platform/test_unreadable_content.py
@@ -19,6 +19,7 @@
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import start_server
 from lentilroad.conversation.journal import Journal
+from lentilroad.conversation.lifetimes import LifetimeTable
 from lentilroad.conversation.members import Member, MemberList, encode_members
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import ConfigurationError, LentilroadError
@@ -282,6 +283,8 @@
             member_disks=set,
             members=lambda: (0, b""),
             update_members=lambda version, members: None,
+            lifetimes=LifetimeTable(),
+            confirmed_until_s=clock.monotonic_s,
         )
 
     encode = msgspec.msgpack.encode
--- a/tests/request/test_conversation_bodies.py
+++ b/tests/request/test_conversation_bodies.py
@@ -47,6 +47,7 @@
         grant_manager=GrantManager(
             reserve=storage.reserve, confirm=storage.confirm, clock=SystemClock()
         ),
+        clock=SystemClock(),
     )
     expected: dict[str, bytes] = {}
     async with serving_gateway(
--- a/tests/request/test_route_combinations.py
+++ b/tests/request/test_route_combinations.py
@@ -162,6 +162,7 @@
         grant_manager=GrantManager(
             reserve=storage.reserve, confirm=storage.confirm, clock=clock
         ),
+        clock=clock,
     )
     headers = {
         "Host": "h.example",
