Answer every request before a planned stop ends

Cause: nothing on the way from the queue to a worker knew when the process ends. Deadlines came from the caller and the route only.

A stop now moves the deadline of all open and later requests to the end of the grace period, less a margin for writing: of the timeout of each request, of the wait for a slot, of retries, and of the deadline that workers are told. Waiting requests that cannot be answered in time are refused when the stop begins or as soon as it is known, with 503 and a time to return; a request that has not run is not passed on if its instance most likely needs longer than what is left; what is still at a worker gets 504 with an unknown outcome. Margins shrink with a short grace period.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -37,6 +37,8 @@
 # response time, gets no further work while other instances can accept it.
 UNRESPONSIVE_AFTER_S = 0.35
 UNRESPONSIVE_RESPONSE_TIMES = 3.0
+# Multiple of the mean response time in which most responses are complete.
+LIKELY_RESPONSE_TIMES = 2.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -173,6 +175,11 @@
         response_s = self.mean_response_s or DEFAULT_RESPONSE_S
         return max(UNRESPONSIVE_AFTER_S, UNRESPONSIVE_RESPONSE_TIMES * response_s)
 
+    def likely_answer_s(self) -> float:
+        """Return the time in seconds in which the instance most likely answers."""
+        response_s = self.mean_response_s or DEFAULT_RESPONSE_S
+        return max(UNRESPONSIVE_AFTER_S, LIKELY_RESPONSE_TIMES * response_s)
+
     def unresponsive(self, now_s: float) -> bool:
         """Return whether requests have been unanswered for too long."""
         if not self.unanswered:
--- a/lentilroad/process/gateway.py
+++ b/lentilroad/process/gateway.py
@@ -18,9 +18,14 @@
 # The balancer checks readiness once a second and removes an instance after two failed
 # checks; until then new connections arrive.
 LISTEN_AFTER_STOP_S = 3.0
-# The drain ends this long before the platform kills the process; responses that are
-# still open then are cut off.
+# The drain ends this long before the platform kills the process; streams that are still
+# open then are cut off.
 KILL_MARGIN_S = 0.4
+# Requests without a response get their final answer this long before the drain ends, so
+# that it reaches the caller.
+FINAL_ANSWER_MARGIN_S = 0.25
+# Largest share of a short grace period that each margin takes.
+MAX_MARGIN_SHARE = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 # Limit of one header line; the operators' limits apply to all headers together.
 MAX_HEADER_LINE_BYTES = 16384
@@ -162,6 +167,8 @@
 ) -> None:
     """Close the listener, then wait for open requests until the grace period ends.
 
+    Each request whose response has not started gets an answer before that.
+
     Parameters
     ----------
     state : GatewayState
@@ -177,13 +184,15 @@
     """
     state.stopping = True
     stop_started_s = clock.monotonic_s()
+    ends_s = stop_started_s + grace_s - min(KILL_MARGIN_S, MAX_MARGIN_SHARE * grace_s)
     log_event("stopping", open_requests=ingress.open_requests)
+    ingress.stop_by(ends_s - min(FINAL_ANSWER_MARGIN_S, MAX_MARGIN_SHARE * grace_s))
     await clock.sleep(min(LISTEN_AFTER_STOP_S, grace_s / 2))
     for site in list(runner.sites):
         await site.stop()
     # Connections finish the request that they have read and accept no further request.
     runner.server.pre_shutdown()
-    while clock.monotonic_s() - stop_started_s < grace_s - KILL_MARGIN_S:
+    while clock.monotonic_s() < ends_s:
         # A request that was read just before is counted as busy after this sleep.
         await clock.sleep(STOP_POLL_INTERVAL_S)
         connections = list(runner.server.connections)
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -31,6 +31,7 @@
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_response
 from lentilroad.request.fingerprints import target_digest
 from lentilroad.request.inbound import ResponseFlags, UpstreamProtocol
+from lentilroad.request.refusals import StoppingError
 from lentilroad.request.trials import InstanceSelector
 from lentilroad.request.work import PlacementRequest
 
@@ -105,6 +106,7 @@
             state = await self._selector.acquire(exchange, placement)
             exchange.acquired_instance = state
             exchange.termination_probe = None
+            self._check_stop(exchange, state)
             can_fail_over = (
                 exchange.remaining_sends() > 1
                 and self._dispatcher.has_alternative(placement, state)
@@ -136,6 +138,21 @@
                 self.release(exchange)
             placement.excluded.add(state.instance.instance_id)
 
+    def _check_stop(self, exchange: Exchange, state: UpstreamState) -> None:
+        """Refuse a request that has not run if this process may end before its answer.
+
+        Another entry can serve it, while the outcome of a run that is cut off here
+        would be unknown.
+        """
+        if not exchange.stops_at_deadline or exchange.possible_runs:
+            return
+        remaining_s = exchange.deadline_at_s - self._clock.monotonic_s()
+        if remaining_s >= state.likely_answer_s():
+            return
+        self._end_trial(exchange, state)
+        self.release(exchange)
+        raise StoppingError.for_service(exchange.service)
+
     def release(self, exchange: Exchange) -> None:
         """Release the slot that a request has acquired, if any."""
         if exchange.acquired_instance is not None:
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 from sortedcontainers import SortedDict
 
 from lentilroad.clock import Clock
-from lentilroad.errors import OverloadedError, UnavailableError
+from lentilroad.errors import LentilroadError, OverloadedError, UnavailableError
 from lentilroad.membership.upstreams import (
     UpstreamDirectory,
     UpstreamState,
@@ -29,6 +30,7 @@
     slot_wait_s,
 )
 from lentilroad.request.placement_costs import PlacementCosts, prefill_cost_s
+from lentilroad.request.refusals import StoppingError
 from lentilroad.request.work import PlacementRequest
 
 # Waiting requests, from the front of the queue, that are considered for free slots at
@@ -111,6 +113,8 @@
         self._arrival_numbers = itertools.count()
         self._random_share = random_share
         self._take_permit = take_permit
+        # Monotonic time by which all requests are answered; infinite until a stop.
+        self._stop_by_s = math.inf
         directory.subscribe(self._update_instance)
 
     async def acquire(self, request: PlacementRequest) -> UpstreamState:
@@ -128,6 +132,10 @@
         """
         key = (request.rank, next(self._arrival_numbers))
         deadline_s = self._clock.monotonic_s() + request.remaining_s
+        if self._stop_by_s < math.inf:
+            start_by_s = self._start_by_s(self._service(request.service))
+            request.remaining_s -= max(0.0, deadline_s - start_by_s)
+            deadline_s = min(deadline_s, start_by_s)
         while True:
             state = await self._wait_for_slot(request, key, deadline_s)
             if state.limit_per_s() is None:
@@ -163,7 +171,7 @@
             async with asyncio.timeout(deadline_s - self._clock.monotonic_s()):
                 return await self._granted_slot(service, key, waiter)
         except TimeoutError as error:
-            raise self._overloaded_error(request) from error
+            raise self._missed_deadline_error(request) from error
 
     async def _granted_slot(
         self, service: _Service, key: _QueueKey, waiter: _Waiter
@@ -177,6 +185,19 @@
                 self.release(waiter.slot.result())
             raise
 
+    def stop_by(self, time_s: float) -> None:
+        """Refuse requests as soon as they cannot be answered by a monotonic time."""
+        self._stop_by_s = time_s
+        for name, service in self._services.items():
+            start_by_s = self._start_by_s(service)
+            for waiter in service.waiting.values():
+                waiter.deadline_s = min(waiter.deadline_s, start_by_s)
+            self._refuse_late_waiters(service, name)
+
+    def _start_by_s(self, service: _Service) -> float:
+        """Return until when a request can start so that its answer comes in time."""
+        return self._stop_by_s - service.index.min_answer_s()
+
     def has_alternative(self, request: PlacementRequest, state: UpstreamState) -> bool:
         """Return whether an instance other than `state` has a free slot now."""
         now_s = self._clock.monotonic_s()
@@ -216,21 +237,26 @@
         asyncio.get_running_loop().call_later(delay_s, self.dispatch_waiting)
 
     def _refuse_late_waiters(self, service: _Service, name: str) -> None:
-        """Refuse waiting requests that rate limits make miss their deadline."""
-        if service.index.next_permit_s() is None:
+        """Refuse waiting requests that will miss their deadline.
+
+        Rate limits or the end of this process may bring it nearer than was known when
+        they began to wait.
+        """
+        stopping = self._stop_by_s < math.inf
+        if service.index.next_permit_s() is None and not stopping:
             return
         now_s = self._clock.monotonic_s()
         rate_per_s = self._rate_per_s(service, name)
         first_wait_s = self._paused_for_s(service) or 0.0
-        if rate_per_s == 0.0:
+        if rate_per_s == 0.0 and not stopping:
             return
         for position, (key, waiter) in enumerate(list(service.waiting.items())):
-            wait_s = max(first_wait_s, position / rate_per_s)
+            wait_s = max(first_wait_s, position / rate_per_s if rate_per_s else 0.0)
             if now_s + wait_s <= waiter.deadline_s:
                 continue
             del service.waiting[key]
             if not waiter.slot.done():
-                waiter.slot.set_exception(self._overloaded_error(waiter.request))
+                waiter.slot.set_exception(self._missed_deadline_error(waiter.request))
 
     def waiting_count(self, service: str) -> int:
         """Return the number of requests that wait for a service."""
@@ -423,7 +449,12 @@
         position = service.waiting.bisect_right((request.rank, float("inf")))
         wait_s = self._expected_wait_s(service, request.service, position)
         if wait_s is not None and wait_s > request.remaining_s:
-            raise self._overloaded_error(request)
+            raise self._missed_deadline_error(request)
+
+    def _missed_deadline_error(self, request: PlacementRequest) -> LentilroadError:
+        if self._stop_by_s < math.inf:
+            return StoppingError.for_service(request.service)
+        return self._overloaded_error(request)
 
     def _overloaded_error(self, request: PlacementRequest) -> OverloadedError:
         return OverloadedError(
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -32,6 +32,8 @@
     ----------
     deadline_at_s : float
         Monotonic time by which the caller must have its response.
+    stops_at_deadline : bool
+        Whether the deadline is the end of this process and not of the caller's wait.
     began_s : float
         Monotonic time at which the request arrived.
     sends : int
@@ -78,6 +80,15 @@
     known_fingerprint: Fingerprint | None = None
     response_started: bool = False
     after_event: str = ""
+    stops_at_deadline: bool = False
+
+    def stop_by(self, time_s: float) -> bool:
+        """Move the deadline to the end of the process; return whether it is earlier."""
+        if self.deadline_at_s <= time_s:
+            return False
+        self.deadline_at_s = time_s
+        self.stops_at_deadline = True
+        return True
 
     def wait_until_s(self) -> float:
         """Return until which monotonic time a send is of use to the caller.
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -35,7 +36,11 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import BufferedResponse, Exchange, read_response
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
-from lentilroad.request.refusals import refusal_status, with_unknown_outcome
+from lentilroad.request.refusals import (
+    StoppingError,
+    refusal_status,
+    with_unknown_outcome,
+)
 from lentilroad.request.streaming import StreamRelay
 from lentilroad.request.work import PlacementRequest
 from lentilroad.version.routes import RouteKind, RouteTable
@@ -119,9 +124,28 @@
         self._stopping = stopping
         self._wait_until_ready = wait_until_ready
         self._random = random.Random()
+        # Monotonic time by which all requests are answered; infinite until a stop.
+        self._stop_by_s = math.inf
+        self._serving: dict[int, tuple[Exchange, asyncio.Timeout]] = {}
         self.open_requests = 0
         self.busy_connections: set[object] = set()
 
+    def stop_by(self, time_s: float) -> None:
+        """Answer all requests, also those that arrive later, before the process ends.
+
+        Parameters
+        ----------
+        time_s : float
+            Monotonic time by which each request that was read gets its final answer.
+        """
+        self._stop_by_s = time_s
+        remaining_s = time_s - self._clock.monotonic_s()
+        ends_at = asyncio.get_running_loop().time() + remaining_s
+        for exchange, timeout in self._serving.values():
+            if exchange.stop_by(time_s):
+                timeout.reschedule(ends_at)
+        self._dispatcher.stop_by(time_s)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         self.open_requests += 1
@@ -201,7 +225,7 @@
                 f"{inbound.host}{path}; check the address"
             )
         remaining_s = min(route.timeout_s, inbound.deadline_s or route.timeout_s)
-        return Exchange(
+        exchange = Exchange(
             inbound=inbound,
             route=route,
             service=_choose_service(route.services, self._random),
@@ -210,25 +234,34 @@
             began_s=began_s,
             request=request,
         )
+        exchange.stop_by(self._stop_by_s)
+        return exchange
 
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
+        exchange.stop_by(self._stop_by_s)
         remaining_s = exchange.deadline_at_s - self._clock.monotonic_s()
         try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
+            async with asyncio.timeout(max(0.0, remaining_s)) as timeout:
+                self._serving[id(exchange)] = exchange, timeout
                 if exchange.route.kind is RouteKind.STREAMING:
                     return await self._serve_stream(exchange)
                 return await self._serve_call(exchange)
         except TimeoutError as error:
             if exchange.possible_runs:
+                end = "this entry stops" if exchange.stops_at_deadline else "deadline"
                 raise DeadlineExceededError(
-                    f"{exchange.service} did not respond before the deadline",
+                    f"{exchange.service} did not respond before the {end}",
                     outcome="unknown",
                 ) from error
+            if exchange.stops_at_deadline:
+                raise StoppingError.for_service(exchange.service) from error
             raise OverloadedError(
                 f"no instance of {exchange.service} had a free slot before the "
                 "deadline; send the request again",
                 retry_after_ms=self._dispatcher.retry_after_ms(exchange.service),
             ) from error
+        finally:
+            self._serving.pop(id(exchange), None)
 
     async def _serve_call(self, exchange: Exchange) -> web.StreamResponse:
         async def read(
--- a/lentilroad/request/instance_index.py
+++ b/lentilroad/request/instance_index.py
@@ -143,6 +143,12 @@
             default=None,
         )
 
+    def min_answer_s(self) -> float:
+        """Return the time in which the fastest instance most likely answers."""
+        return min(
+            (self._states[i].likely_answer_s() for i in self._positions), default=0.0
+        )
+
     def has_free_slot(self) -> bool:
         """Return whether any usable instance has a free slot."""
         return any(zone.free for zone in self.zones.values())
--- a/lentilroad/request/refusals.py
+++ b/lentilroad/request/refusals.py
@@ -11,6 +11,7 @@
     RequestTooLargeError,
     UpstreamError,
 )
+from lentilroad.request.const import SERVICE_RETRY_AFTER_MIN_S
 
 
 class RequestTimeoutError(LentilroadError):
@@ -20,6 +21,22 @@
     http_status = 408
 
 
+class StoppingError(LentilroadError):
+    """The process ends before the request could be served."""
+
+    code = "entry_stopping"
+    http_status = 503
+
+    @classmethod
+    def for_service(cls, service: str) -> StoppingError:
+        """Return the error of a request that waited for a service."""
+        return cls(
+            f"this entry stops before {service} could complete the request; send it "
+            "to another entry",
+            retry_after_ms=int(1000 * SERVICE_RETRY_AFTER_MIN_S),
+        )
+
+
 def with_unknown_outcome(service: str, error: LentilroadError) -> LentilroadError:
     """Return the error with an outcome that accounts for earlier sends.
 
