Keep the state of a disk when its first segment is removed

The records that state which assignment the disk has copied and which member lists it refuses are written once, and went with the first segment. After a restart the disk no longer counted as complete, and accepted reservations of callers with a list from before a replacement.

Both are now one record of the whole state, which keeps its segment and is written again when it alone keeps old segments.

--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -144,6 +144,8 @@
         self._min_map_version = 0
         # Newest value of `_min_map_version` that is synced to the disk.
         self._synced_min_map_version = 0
+        # Segment of the newest record of the disk's state; None before the first one.
+        self._state_segment: int | None = None
         self._retiring = False
         self._used_share = 0.0
         self._turns: dict[str, _StoredTurn] = {}
@@ -167,9 +169,13 @@
                 _mark_synced(self._ledgers[record.ledger.program_id], record.ledger)
             if record.complete_as == self.disk_id:
                 self.copied_assignment = record.copied_assignment
+                self._state_segment = segment
             if record.min_map_version is not None:
-                self._min_map_version = record.min_map_version
-                self._synced_min_map_version = record.min_map_version
+                self._min_map_version = max(
+                    record.min_map_version, self._min_map_version
+                )
+                self._synced_min_map_version = self._min_map_version
+                self._state_segment = segment
         self.sweep()
         log_event(
             "storage_recovered",
@@ -185,11 +191,7 @@
 
     async def mark_copied(self, assignment: int) -> None:
         """Record that the disk stores all records of an assignment."""
-        await self._journal.append(
-            _ENCODER.encode(
-                _JournalRecord(complete_as=self.disk_id, copied_assignment=assignment)
-            )
-        )
+        await self._append_state(assignment)
         self.copied_assignment = assignment
 
     def retire(self) -> None:
@@ -201,13 +203,17 @@
         if version <= self._synced_min_map_version:
             return
         self._min_map_version = max(version, self._min_map_version)
-        await self._sync_min_map_version()
+        await self._append_state(self.copied_assignment)
 
-    async def _sync_min_map_version(self) -> None:
+    async def _append_state(self, copied_assignment: int | None) -> None:
+        """Write the whole state of the disk, so that earlier records are not needed."""
         version = self._min_map_version
-        await self._journal.append(
-            _ENCODER.encode(_JournalRecord(min_map_version=version))
-        )
+        record = _JournalRecord(min_map_version=version)
+        if copied_assignment is not None:
+            record.complete_as = self.disk_id
+            record.copied_assignment = copied_assignment
+        segment = await self._journal.append(_ENCODER.encode(record))
+        self._state_segment = max(segment, self._state_segment or 0)
         self._synced_min_map_version = max(version, self._synced_min_map_version)
 
     async def put_turns(self, request: PutTurns) -> StoreReply:
@@ -401,9 +407,12 @@
         """Write a record without effect if the disk refused the last write."""
         if self._journal.refused_since_s is None:
             return
-        # The record repeats the current minimum version, so replaying it has no effect.
+        # The record repeats the current state, so replaying it has no effect.
+        await self._repeat_state()
+
+    async def _repeat_state(self) -> None:
         try:
-            await self._sync_min_map_version()
+            await self._append_state(self.copied_assignment)
         except DiskRefusedError:
             # The journal logged when the disk began to refuse writes.
             return
@@ -432,6 +441,15 @@
             for program_id, stored in self._ledgers.items()
         ]
 
+    async def maintain(self) -> None:
+        """Sweep, and repeat the disk's state if it alone keeps old segments."""
+        self.sweep()
+        if (
+            self._state_segment is not None
+            and self._state_segment < self._oldest_record_segment()
+        ):
+            await self._repeat_state()
+
     def sweep(self) -> None:
         """Evict expired turns and grants, and remove unused segments."""
         limit_s = min(self._clock.monotonic_s(), self._confirmed_until_s())
@@ -445,12 +463,16 @@
                     del self._ledgers[program_id]
         self._remove_unused_segments()
 
-    def _remove_unused_segments(self) -> None:
+    def _oldest_record_segment(self) -> int:
         segments = [stored.segment for stored in self._turns.values()]
         segments += [stored.segment for stored in self._ledgers.values()]
-        self._journal.remove_before(
-            min(segments, default=self._journal.current_segment())
-        )
+        return min(segments, default=self._journal.current_segment())
+
+    def _remove_unused_segments(self) -> None:
+        oldest = self._oldest_record_segment()
+        if self._state_segment is not None:
+            oldest = min(oldest, self._state_segment)
+        self._journal.remove_before(oldest)
         previous_share = self._used_share
         size_bytes = self._journal.size_bytes()
         self._used_share = size_bytes / max(1, self._disk_bytes)
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
@@ -240,7 +239,7 @@
             joining.run(),
             reader.check_regularly(),
             lists.compare_regularly(),
-            run_periodically(_as_async(replica.sweep), SWEEP_INTERVAL_S, clock),
+            run_periodically(replica.maintain, SWEEP_INTERVAL_S, clock),
             run_periodically(lifetimes.send, LIFETIME_EXCHANGE_INTERVAL_S, clock),
             run_periodically(replica.retry_refused_write, DISK_RETRY_S, clock),
         ],
@@ -270,13 +269,6 @@
             await clock.sleep(DISK_RETRY_S)
 
 
-def _as_async(step: Callable[[], None]) -> Callable[[], Awaitable[None]]:
-    async def run() -> None:
-        step()
-
-    return run
-
-
 def _map_store(metadata: MetadataClient) -> MemberMapStore:
     async def read() -> MemberMap:
         item = await metadata.read_key(MEMBERS_KEY)
--- a/tests/conversation/test_assignments.py
+++ b/tests/conversation/test_assignments.py
@@ -299,3 +299,65 @@
             assert found[0].turn_id == turn_id
 
     run_virtual(run())
+
+
+async def _let_journals_drop_their_first_segments(cluster: StorageCluster) -> None:
+    client = cluster.client("dakar")
+    nodes = [node for node in cluster.nodes.values() if node.running]
+    for node in nodes:
+        node.journal.segment_records = 8
+    for number in range(4):
+        for turn_id in TURNS:
+            await client.put_turn(turn(f"{number}-{turn_id}"), key=turn_id)
+        await cluster.clock.sleep(200.0)
+    for node in nodes:
+        assert not node.replica.turns()
+        assert len(node.journal.records) <= 16
+
+
+def test_restarted_disks_count_after_their_first_segments_are_gone() -> None:
+    """Guard against disks that are incomplete since their mark was removed (RECOVER).
+
+    After a lost disk they then wait for each other for good.
+    """
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        await _let_journals_drop_their_first_segments(cluster)
+        await _store_turns(client)
+        await _spend_budget(cluster, client)
+        for node in cluster.nodes.values():
+            node.kill()
+        for name in ("store-0", "store-1"):
+            cluster.nodes[name].start()
+        cluster.add("spare", "dakar").start()
+        await cluster.clock.sleep(2 * CATCH_UP_S)
+        await _check_turns_and_budgets(cluster, cluster.client("thies", "entry-2"))
+
+    run_virtual(run())
+
+
+def test_restarted_disk_refuses_callers_with_a_list_before_a_replacement() -> None:
+    """Guard against a list version that is forgotten with its segment (BUDGET)."""
+
+    async def run() -> None:
+        cluster, _ = await _start_cluster()
+        old_version = cluster.member_store.member_map.version
+        cluster.nodes["store-0"].kill()
+        cluster.add("spare", "dakar").start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        await _let_journals_drop_their_first_segments(cluster)
+        node = cluster.nodes["store-1"]
+        node.kill()
+        node.start()
+        await cluster.clock.sleep(1.0)
+        with pytest.raises(StaleMapError):
+            await node.replica.reserve(
+                Reserve(
+                    program_id="p",
+                    map_version=old_version,
+                    assignment=node.assignment(),
+                )
+            )
+
+    run_virtual(run())
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -55,18 +55,28 @@
         Whether the disk delays all writes.
     full : bool
         Whether the disk refuses all writes.
+    segment_records : int
+        Number of records after which the next segment starts.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self.records: list[bytes] = []
         self.stalled = False
         self.full = False
+        self.segment_records = 10**9
+        self._removed = 0
         self.refused_since_s: float | None = None
         self._clock = clock
 
     def read(self) -> Iterator[tuple[int, bytes]]:
         """Return all synced records."""
-        return ((1, record) for record in self.records)
+        return (
+            (self._segment(self._removed + index), record)
+            for index, record in enumerate(self.records)
+        )
+
+    def _segment(self, position: int) -> int:
+        return 1 + position // self.segment_records
 
     async def append(self, payload: bytes) -> int:
         """Sync one record."""
@@ -78,15 +88,20 @@
             raise DiskRefusedError("the disk is full; free space on it")
         self.refused_since_s = None
         self.records.append(payload)
-        return 1
+        return self.current_segment()
 
     def remove_before(self, number: int) -> int:
-        """Remove no segment."""
-        return 0
+        """Remove the records of the segments before `number` and return their count."""
+        removed = 0
+        while self.records and self._segment(self._removed) < number:
+            del self.records[0]
+            self._removed += 1
+            removed += 1
+        return removed
 
     def current_segment(self) -> int:
-        """Return the number of the only segment."""
-        return 1
+        """Return the number of the newest segment."""
+        return self._segment(self._removed + max(0, len(self.records) - 1))
 
     def size_bytes(self) -> int:
         """Return the size of all records."""
@@ -267,7 +282,7 @@
         while True:
             for _ in range(steps):
                 await clock.sleep(SWEEP_INTERVAL_S)
-                self.replica.sweep()
+                await self.replica.maintain()
             await self.lifetimes.send()
 
     def kill(self) -> None:
