--- a/lentilroad/soak/configurations.py
+++ b/lentilroad/soak/configurations.py
@@ -84,7 +84,10 @@
         for version in self.versions[:-KEPT_VERSIONS]:
             version.dropped_s = min(version.dropped_s, clock())
         await world.store.put(
-            "op/config", configuration(version=number, kept_versions=kept)
+            "op/config",
+            configuration(
+                version=number, kept_versions=kept, retention_s=world.retention_s
+            ),
         )
         self.versions.append(_Version(number=number, confirmed_s=clock()))
 
--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -11,6 +11,9 @@
   --storages COUNT   Storage processes [default: 3].
   --series COUNT     Series of faults of processes that overlap; with 0, only
                      connections and the store fail [default: 2].
+  --retention SECONDS  Retention of conversations [default: 60].
+  --planned          Only planned work, in calm: entries are stopped with full workers,
+                     and storage machines replaced and retired.
   --folder FOLDER    Folder of settings, disks and logs; a new temporary one when
                      omitted. It is kept when a guarantee was violated.
 
@@ -28,16 +31,20 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from docopt import docopt
 
 from lentilroad.soak.crashes import crash_worker
+from lentilroad.soak.members import change_storage_machines, wait_until_complete
 from lentilroad.soak.programs import Caller, Findings
 from lentilroad.soak.proxy import LinkFault, LinkProxy
 from lentilroad.soak.statements import LimitPeriod, StatementChecks
-from lentilroad.soak.world import ProgramProcess, World
+from lentilroad.soak.stops import stop_entries
+from lentilroad.soak.world import RETENTION_S, ProgramProcess, World
 
 # Starting six processes takes many seconds on a busy machine.
 START_TIMEOUT_S = 120.0
@@ -46,6 +53,12 @@
 IN_FLIGHT_WAIT_S = 2.0
 # Requests that crash the workers that run them, sent at the same time.
 CRASHING_REQUESTS = 2
+# Conversations that go on for as long as the soak runs.
+LONG_CONVERSATIONS = 4
+# Callers of planned work that fill the slots of all workers.
+CHARGING_CALLERS = 72
+FEW_WORKER_SLOTS = 2
+WORKER_SLOTS = 8
 # Shares of a worker's faults: it states a limit, or leaves, also as the list has it.
 LIMIT_SHARE = 0.6
 LISTED_DRAIN_SHARE = 0.5
@@ -60,10 +73,17 @@
     entries: int = 3,
     storages: int = 3,
     process_fault_series: int = 2,
+    retention_s: float = RETENTION_S,
+    planned: bool = False,
 ) -> Findings:
     """Run programs under random faults and return the findings."""
     source = random.Random(seed)
-    world = World(folder=folder, source=source)
+    world = World(
+        folder=folder,
+        source=source,
+        retention_s=retention_s,
+        worker_slots=FEW_WORKER_SLOTS if planned else WORKER_SLOTS,
+    )
     caller = Caller(world=world, source=source)
     try:
         await world.start(entries=entries, storages=storages)
@@ -73,30 +93,29 @@
             # Faults of one series follow one another; the series overlap.
             disk_loss = asyncio.Lock()
             changes = caller.findings.configurations
-            faults = asyncio.gather(
+            work = [
                 changes.change_regularly(world, source),
                 changes.probe_regularly(world, session, source),
-                _inject_store_faults(world, source),
-                _inject_store_link_faults(world, source),
-                *(
-                    _inject_process_faults(world, source, disk_loss)
-                    for _ in range(process_fault_series)
-                ),
-                _inject_link_faults(world, source),
-                *(
-                    _inject_statements(
-                        world, number, source, caller.findings.statements
-                    )
-                    for number in range(len(world.workers))
-                ),
-            )
-            crashes = _let_workers_crash(world, caller, source)
+            ]
+            if planned:
+                work += [
+                    stop_entries(world, source),
+                    change_storage_machines(world, source, disk_loss, planned=True),
+                ]
+            else:
+                work += _faults(world, caller, source, disk_loss, process_fault_series)
+            faults = asyncio.gather(*work)
+            crashes = set() if planned else _let_workers_crash(world, caller, source)
             running = [
-                asyncio.create_task(_repeat_programs(caller, session))
-                for _ in range(callers)
-            ] + [
-                asyncio.create_task(caller.send_crashing_request(session))
-                for _ in range(CRASHING_REQUESTS)
+                asyncio.create_task(run)
+                for run in (
+                    *(_repeat_programs(caller, session) for _ in range(callers)),
+                    *(
+                        caller.run_long_conversation(session)
+                        for _ in range(LONG_CONVERSATIONS)
+                    ),
+                    *_further_requests(caller, session, planned=planned),
+                )
             ]
             await asyncio.sleep(duration_s)
             for task in (faults, *running):
@@ -108,9 +127,48 @@
     finally:
         await world.close()
     caller.findings.check_runs(world)
+    caller.findings.storage_changes = len(world.removed)
+    caller.findings.planned_stops = world.planned_stops
+    if planned:
+        caller.findings.violations += caller.findings.stops.violations(world.log)
     return caller.findings
 
 
+def _faults(
+    world: World,
+    caller: Caller,
+    source: random.Random,
+    disk_loss: asyncio.Lock,
+    process_fault_series: int,
+) -> list[Coroutine[Any, Any, None]]:
+    """Return the series of all faults, which overlap."""
+    faults = [
+        _inject_store_faults(world, source),
+        _inject_store_link_faults(world, source),
+        _inject_link_faults(world, source),
+    ]
+    if process_fault_series:
+        faults.append(change_storage_machines(world, source, disk_loss, planned=False))
+    faults += [
+        _inject_process_faults(world, source, disk_loss)
+        for _ in range(process_fault_series)
+    ]
+    faults += [
+        _inject_statements(world, number, source, caller.findings.statements)
+        for number in range(len(world.workers))
+    ]
+    return faults
+
+
+def _further_requests(
+    caller: Caller, session: aiohttp.ClientSession, *, planned: bool
+) -> list[Coroutine[Any, Any, None]]:
+    """Return requests beside the programs: crashing ones, or ones that fill workers."""
+    if planned:
+        return [caller.charge_regularly(session) for _ in range(CHARGING_CALLERS)]
+    return [caller.send_crashing_request(session) for _ in range(CRASHING_REQUESTS)]
+
+
 def _let_workers_crash(
     world: World, caller: Caller, source: random.Random
 ) -> set[asyncio.Task[None]]:
@@ -192,6 +250,7 @@
             async with disk_loss:
                 await _replace_disk(source.choice(world.storages))
                 await asyncio.sleep(CATCH_UP_S)
+                await wait_until_complete(world)
         else:
             for worker in world.workers:
                 worker.lost_reply_share = 0.05
@@ -203,7 +262,7 @@
 async def _inject_store_faults(world: World, source: random.Random) -> None:
     while True:
         await asyncio.sleep(source.uniform(5.0, 15.0))
-        kind = source.choice(["refuse", "silence", "delay", "forget"])
+        kind = source.choice(["refuse", "silence", "delay", "forget", "unanswered"])
         await world.disturb_store(kind, source.uniform(0.5, 3.0), source)
 
 
@@ -295,6 +354,8 @@
             entries=int(options["--entries"]),
             storages=int(options["--storages"]),
             process_fault_series=int(options["--series"]),
+            retention_s=float(options["--retention"]),
+            planned=options["--planned"],
         )
     )
     passed = not findings.violations and findings.served > 0
@@ -306,6 +367,8 @@
                 "refused": findings.refused,
                 "failed": findings.failed,
                 "versions": len(findings.configurations.versions),
+                "storage_changes": findings.storage_changes,
+                "planned_stops": findings.planned_stops,
                 "version_checks": findings.configurations.checked_probes,
                 "violations": findings.violations[:10],
                 "folder": "" if passed else str(folder),
--- a/lentilroad/soak/programs.py
+++ b/lentilroad/soak/programs.py
@@ -11,6 +11,7 @@
 from lentilroad.soak.configurations import ConfigurationChecks
 from lentilroad.soak.crashes import CRASHING_PATHS, CrashChecks
 from lentilroad.soak.statements import StatementChecks
+from lentilroad.soak.stops import StopChecks
 from lentilroad.soak.world import (
     CLIENT_PORT,
     MAX_TOKENS_PER_TURN,
@@ -45,6 +46,9 @@
     statements: StatementChecks = field(default_factory=StatementChecks)
     crashes: CrashChecks = field(default_factory=CrashChecks)
     configurations: ConfigurationChecks = field(default_factory=ConfigurationChecks)
+    stops: StopChecks = field(default_factory=StopChecks)
+    storage_changes: int = 0
+    planned_stops: int = 0
     served: int = 0
     refused: int = 0
     failed: int = 0
@@ -126,6 +130,41 @@
                 f"{program_id} received {received_tokens} tokens, budget {budget}"
             )
 
+    async def run_long_conversation(self, session: aiohttp.ClientSession) -> None:
+        """Continue one conversation for as long as the soak runs."""
+        clock = asyncio.get_running_loop().time
+        retention_s = self._world.retention_s
+        previous, history, answered_s = "", b"", clock()
+        while True:
+            request_id = self._new_id()
+            text = f"in {self._source.getrandbits(32):x}\n".encode()
+            self.findings.expected_bodies[request_id] = history + text
+            status, _, complete = await self._send(
+                session,
+                "/turn/x",
+                request_id,
+                text,
+                {"Lentilroad-Previous-Turn": previous} if previous else {},
+            )
+            if status == 404:
+                age_s = clock() - answered_s
+                if age_s < retention_s:
+                    self.findings.violations.append(
+                        f"{request_id}: turn {previous}, answered {age_s:.1f} s "
+                        "before, was not found"
+                    )
+                previous, history = "", b""
+            elif status == 200 and complete:
+                history += text + turn_output(request_id)
+                previous, answered_s = request_id, clock()
+            await asyncio.sleep(self._source.uniform(0.05, retention_s / 4))
+
+    async def charge_regularly(self, session: aiohttp.ClientSession) -> None:
+        """Send requests that may run once, also to entries that stop."""
+        while True:
+            await self._charge(session)
+            await asyncio.sleep(self._source.uniform(0.0, 0.1))
+
     async def send_crashing_request(self, session: aiohttp.ClientSession) -> None:
         """Send a request that crashes its worker, again and again."""
         path = self._source.choice(CRASHING_PATHS)
@@ -159,7 +198,8 @@
         received = bytearray()
         status = 0
         clock = asyncio.get_running_loop().time
-        findings.statements.record_sent(request_id, entry, clock())
+        sent_s = clock()
+        findings.statements.record_sent(request_id, entry, sent_s)
         findings.crashes.sent_to[request_id] = entry
         try:
             async with (
@@ -186,9 +226,12 @@
                     )
                 async for chunk in response.content.iter_any():
                     received += chunk
-        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
             # The entry was killed or paused, or it broke the reply off.
             findings.failed += 1
+            findings.stops.unanswered[request_id] = (
+                f"{entry.name}, {type(error).__name__} after {clock() - sent_s:.2f} s"
+            )
             return status, bytes(received), False
         if status in NOT_RUN_STATUSES:
             findings.not_run.add(request_id)
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -22,6 +22,7 @@
 CLIENT_PORT = 18080
 READY_PORT = 18081
 PEER_PORTS = (18090, 18099)
+METRICS_PORT = PEER_PORTS[1]
 TOKENS_PER_EVENT = 10
 MAX_TOKENS_PER_TURN = EVENTS_PER_TURN * TOKENS_PER_EVENT
 RETENTION_S = 60.0
@@ -46,10 +47,19 @@
         Folder of settings, disk and log.
     store_address : str
         Address of the metadata store.
+    added_in : str
+        Region of a machine that is added to a running deployment; empty for the
+        machines of its first start.
     """
 
     def __init__(
-        self, *, role: str, number: int, folder: Path, store_address: str
+        self,
+        *,
+        role: str,
+        number: int,
+        folder: Path,
+        store_address: str,
+        added_in: str = "",
     ) -> None:
         self.role = role
         self.name = f"{role}-{number}"
@@ -59,7 +69,7 @@
         third_octet = 2 * (os.getpid() // NETWORKS % MAX_THIRD_OCTETS)
         third_octet += 0 if role == "entry" else 1
         self.ip = f"127.{10 + os.getpid() % NETWORKS}.{third_octet}.{number + 1}"
-        self.region = REGIONS[number % len(REGIONS)]
+        self.region = added_in or REGIONS[number % len(REGIONS)]
         self.process: asyncio.subprocess.Process | None = None
         # Loop times of starts and signals; a process need not know what came before.
         self.disturbed_s: list[float] = []
@@ -69,7 +79,7 @@
         self.fault_lock = asyncio.Lock()
         self._folder = folder / self.name
         self._store_address = store_address
-        self._first_start = True
+        self._first_start = not added_in
         self._folder.mkdir(parents=True)
 
     async def start(self) -> None:
@@ -153,13 +163,29 @@
         Folder of settings, disks and logs; retained after the run.
     source : random.Random
         Source of all random choices.
+    retention_s : float
+        Retention of conversations.
+    worker_slots : int
+        Slots of each worker.
     """
 
-    def __init__(self, *, folder: Path, source: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        source: random.Random,
+        retention_s: float = RETENTION_S,
+        worker_slots: int,
+    ) -> None:
+        self.retention_s = retention_s
+        self._worker_slots = worker_slots
         self.store = MetadataStoreStandIn()
         self.log = RunLog()
         self.entries: list[ProgramProcess] = []
         self.storages: list[ProgramProcess] = []
+        # Storage machines that have left for good.
+        self.removed: list[ProgramProcess] = []
+        self.planned_stops = 0
         self.workers: list[WorkerStandIn] = []
         # One link to each worker, and one from each process to the metadata store.
         self.links: list[LinkProxy] = []
@@ -175,7 +201,11 @@
         """Write a worker's entry of the platform's list."""
         worker = self.workers[number]
         entry = _encode_worker(
-            self._worker_addresses[number], number, worker.start_number, state
+            self._worker_addresses[number],
+            number,
+            worker.start_number,
+            state,
+            slots=self._worker_slots,
         )
         await self.store.put(f"servers/i-{number}", entry)
 
@@ -192,7 +222,9 @@
             self.worker_links.append(link)
             self._worker_addresses.append(link.address)
             await self.register_worker(number)
-        await self.store.put("op/config", configuration(version=1))
+        await self.store.put(
+            "op/config", configuration(version=1, retention_s=self.retention_s)
+        )
         for role, count, processes in (
             ("storage", storages, self.storages),
             ("entry", entries, self.entries),
@@ -201,16 +233,29 @@
                 if number:
                     # Starting all processes at once would exhaust the processor.
                     await asyncio.sleep(START_INTERVAL_S)
-                link = await self._open_link(self.store.address)
-                process = ProgramProcess(
-                    role=role,
-                    number=number,
-                    folder=self._folder,
-                    store_address=link.address,
-                )
-                process.store_link = link
-                processes.append(process)
-                await process.start()
+                processes.append(await self._start_process(role, number))
+
+    async def add_storage(self, *, region: str) -> ProgramProcess:
+        """Add a storage machine with an empty disk at a new address."""
+        number = len(self.storages) + len(self.removed)
+        process = await self._start_process("storage", number, region=region)
+        self.storages.append(process)
+        return process
+
+    async def _start_process(
+        self, role: str, number: int, *, region: str = ""
+    ) -> ProgramProcess:
+        link = await self._open_link(self.store.address)
+        process = ProgramProcess(
+            role=role,
+            number=number,
+            folder=self._folder,
+            store_address=link.address,
+            added_in=region,
+        )
+        process.store_link = link
+        await process.start()
+        return process
 
     async def _open_link(self, target: str) -> LinkProxy:
         link = LinkProxy(target=target)
@@ -221,13 +266,18 @@
     async def disturb_store(
         self, kind: str, for_s: float, source: random.Random
     ) -> None:
-        """Let the store refuse, lose or delay its replies, or forget its history."""
+        """Let the store refuse, lose or delay its replies, or forget its history.
+
+        With ``unanswered``, only the replies to writes are lost.
+        """
         self.store_disturbed_until_s = float("inf")
         try:
             if kind == "refuse":
                 self.store.refusing = True
             elif kind == "silence":
                 self.store.silent = True
+            elif kind == "unanswered":
+                self.store.loses_write_replies = True
             elif kind == "delay":
                 self.store.delay_s = source.uniform(0.1, 0.4)
             else:
@@ -235,6 +285,7 @@
             await asyncio.sleep(for_s)
         finally:
             self.store.refusing = self.store.silent = False
+            self.store.loses_write_replies = False
             self.store.delay_s = 0.0
             if kind == "forget":
                 await self.store.discard_history()
@@ -250,17 +301,13 @@
 
     async def wait_ready(self, timeout_s: float) -> None:
         """Wait until every entry is ready; raises `TimeoutError`."""
-        async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+        async with asyncio.timeout(timeout_s):
             for entry in self.entries:
-                url = f"http://{entry.ip}:{READY_PORT}/readiness"
-                while True:
-                    if await _is_ready(session, url):
-                        break
-                    await asyncio.sleep(READY_POLL_S)
+                await wait_until_ready(entry)
 
     async def close(self) -> None:
         """End all processes that this run started."""
-        processes = [*self.entries, *self.storages]
+        processes = [*self.entries, *self.storages, *self.removed]
         for process in processes:
             process.send(signal.SIGCONT)
         await asyncio.gather(*(p.end(signal.SIGKILL) for p in processes))
@@ -271,6 +318,15 @@
         await self.store.close()
 
 
+async def wait_until_ready(entry: ProgramProcess) -> None:
+    """Wait until an entry is ready."""
+    async with aiohttp.ClientSession() as session:
+        while True:
+            if await _is_ready(session, f"http://{entry.ip}:{READY_PORT}/readiness"):
+                return
+            await asyncio.sleep(READY_POLL_S)
+
+
 async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
     try:
         async with session.get(url) as response:
@@ -285,7 +341,12 @@
     return f"/version-{version}/"
 
 
-def configuration(*, version: int, kept_versions: Sequence[int] = ()) -> bytes:
+def configuration(
+    *,
+    version: int,
+    kept_versions: Sequence[int] = (),
+    retention_s: float = RETENTION_S,
+) -> bytes:
     """Return the operators' configuration.
 
     Parameters
@@ -294,6 +355,8 @@
         Version, which adds a route of its own.
     kept_versions : sequence of int
         Earlier versions whose routes are kept.
+    retention_s : float
+        Retention of conversations.
     """
     added = [
         ("idempotent", version_prefix(number)) for number in (*kept_versions, version)
@@ -309,7 +372,7 @@
             "Attempts": 2,
             "Service": "svc",
             "RetainConversation": kind == "streaming",
-            "RetentionS": RETENTION_S,
+            "RetentionS": retention_s,
         }
         for kind, prefix in (
             ("streaming", "/turn/"),
@@ -328,14 +391,16 @@
     ).encode()
 
 
-def _encode_worker(address: str, number: int, start_number: int, state: str) -> bytes:
+def _encode_worker(
+    address: str, number: int, start_number: int, state: str, *, slots: int
+) -> bytes:
     region = REGIONS[number % len(REGIONS)]
     return json.dumps(
         {
             "Service": "svc",
             "Address": address,
             "Zone": f"{region}-a",
-            "Slots": 8,
+            "Slots": slots,
             "State": state,
             "Sequence": 1,
             "born": start_number,
--- a/lentilroad/standins/platform_worker.py
+++ b/lentilroad/standins/platform_worker.py
@@ -60,6 +60,8 @@
         self.address = ""
         # Share of requests whose reply is lost after they have run.
         self.lost_reply_share = 0.0
+        # Time that a charge takes, in seconds.
+        self.charge_work_s = 0.0
         # Number of the current start; the platform's list has it as well.
         self.start_number = 1
         # Requests per second that the worker states to accept from all callers.
@@ -142,7 +144,8 @@
                 received_s=asyncio.get_running_loop().time(),
             )
         )
-        await asyncio.sleep(self._source.uniform(0.005, 0.05))
+        work_s = self.charge_work_s if target.startswith("/charge/") else 0.0
+        await asyncio.sleep(work_s + self._source.uniform(0.005, 0.05))
         if self.crashes_on(body):
             return False
         if self._source.random() < self.lost_reply_share:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -61,3 +61,33 @@
     )
     assert findings.violations == []
     assert findings.configurations.checked_probes > 0
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_planned_work_on_full_workers_cuts_no_request_off(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guard against requests cut off by planned stops, and lost conversations (LOST).
+
+    Storage machines are replaced and retired meanwhile.
+    """
+    findings = asyncio.run(
+        run_soak(folder=tmp_path, seed=seed, duration_s=20.0, callers=6, planned=True)
+    )
+    assert findings.violations == []
+    assert findings.planned_stops > 0
+    assert findings.storage_changes > 0
+
+
+@pytest.mark.parametrize("seed", [13])
+def test_no_conversation_is_lost_while_storage_machines_change(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guard against conversations lost by lost answers and changed machines (LOST)."""
+    findings = asyncio.run(
+        run_soak(
+            folder=tmp_path, seed=seed, duration_s=25.0, callers=6, retention_s=5.0
+        )
+    )
+    assert findings.violations == []
+    assert findings.storage_changes > 0
