Write the state of a disk in one order

A mark of copied records and a newer list version that were written at the same time could end in a record without the mark, so that a restarted disk was incomplete and copied its records once more. Found by reading the change, not by callers.

Cause: each record of the state held what was in memory when it was begun, and the mark is in memory only after its write. The records now follow one another. Measured: the new test fails on a scratch copy without the lock (a trial), and passes with it.

--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -146,6 +146,8 @@
         self._synced_min_map_version = 0
         # Segment of the newest record of the disk's state; None before the first one.
         self._state_segment: int | None = None
+        # Records of the state follow one another, so that the last one has all changes.
+        self._state_lock = asyncio.Lock()
         self._retiring = False
         self._used_share = 0.0
         self._turns: dict[str, _StoredTurn] = {}
@@ -191,8 +193,9 @@
 
     async def mark_copied(self, assignment: int) -> None:
         """Record that the disk stores all records of an assignment."""
-        await self._append_state(assignment)
-        self.copied_assignment = assignment
+        async with self._state_lock:
+            await self._append_state(assignment)
+            self.copied_assignment = assignment
 
     def retire(self) -> None:
         """Refuse new turns and reservations: the disk is about to be removed."""
@@ -203,7 +206,8 @@
         if version <= self._synced_min_map_version:
             return
         self._min_map_version = max(version, self._min_map_version)
-        await self._append_state(self.copied_assignment)
+        async with self._state_lock:
+            await self._append_state(self.copied_assignment)
 
     async def _append_state(self, copied_assignment: int | None) -> None:
         """Write the whole state of the disk, so that earlier records are not needed."""
@@ -412,7 +416,8 @@
 
     async def _repeat_state(self) -> None:
         try:
-            await self._append_state(self.copied_assignment)
+            async with self._state_lock:
+                await self._append_state(self.copied_assignment)
         except DiskRefusedError:
             # The journal logged when the disk began to refuse writes.
             return
--- a/tests/conversation/test_assignments.py
+++ b/tests/conversation/test_assignments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -338,6 +339,26 @@
     run_virtual(run())
 
 
+def test_state_written_by_two_tasks_at_once_is_whole_after_a_restart() -> None:
+    """Guard against a record of a list version that takes back a completed copy."""
+
+    async def run() -> None:
+        cluster, _ = await _start_cluster()
+        node = cluster.nodes["store-0"]
+        await asyncio.gather(
+            node.replica.mark_copied(70), node.replica.require_map_version(80)
+        )
+        node.kill()
+        node.start()
+        assert node.replica.has_copied(70)
+        with pytest.raises(StaleMapError):
+            await node.replica.reserve(
+                Reserve(program_id="p", map_version=79, assignment=70)
+            )
+
+    run_virtual(run())
+
+
 def test_restarted_disk_refuses_callers_with_a_list_before_a_replacement() -> None:
     """Guard against a list version that is forgotten with its segment (BUDGET)."""
 
