Move the copying of records to other members to a module of its own

joining.py held the membership and the copying by which a retirement and a restored copy send records. The copying is now RecordCopier.

--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -18,6 +18,7 @@
     MEMBER_REPLACE_AFTER_S,
     PULL_TIMEOUT_S,
 )
+from lentilroad.conversation.copying import RecordCopier
 from lentilroad.conversation.members import (
     Member,
     MemberList,
@@ -31,26 +32,18 @@
 from lentilroad.conversation.messages import (
     PROBE,
     PULL,
-    PUT_LEDGERS,
-    PUT_TURNS,
-    WHICH_TURNS,
     ProbeReply,
     ProbeRequest,
     PullRequest,
     PutLedgers,
     PutTurns,
-    TurnRecord,
-    WhichTurns,
 )
 from lentilroad.conversation.replica import Replica
 from lentilroad.errors import LentilroadError
-from lentilroad.membership.rendezvous import rank
 from lentilroad.process.events import log_event
 
 # At the first start of a deployment, new members claim new slots only within this time.
 FORMATION_TIMEOUT_S = 8.0
-PUSH_BATCH_TURNS = 50
-PUSH_BATCH_LEDGERS = 200
 
 Call = Callable[..., Awaitable[Any]]
 
@@ -148,6 +141,7 @@
         # no records to copy.
         self._founding_assignment: int | None = None
         self._copy_progress = _CopyProgress(assignment=0)
+        self._copier = RecordCopier(call=call, replica=replica)
         self._unresponsive_since_s: dict[str, float] = {}
         self.retiring = False
 
@@ -391,7 +385,7 @@
             and not member_disks.issuperset(turn.holders)
         }
         others = [m for m in self._other_members() if m not in unresponsive]
-        await self._push_missing_copies(shared, others, self._losses_tolerated)
+        await self._copier.push_missing_copies(shared, others, self._losses_tolerated)
 
     async def _find_unavailable_members(self) -> tuple[list[Member], list[Member]]:
         """Return the unresponsive members and the members that are catching up."""
@@ -491,61 +485,11 @@
             if m.disk_id != self._replica.disk_id
         ]
         turns = {record.turn_id: record for record in self._replica.turns()}
-        await self._push_missing_copies(turns, others, self._losses_tolerated + 1)
-        await asyncio.gather(*(self._push_ledgers(member) for member in others))
-        return True
-
-    async def _push_missing_copies(
-        self, turns: dict[str, TurnRecord], others: list[Member], copy_count: int
-    ) -> None:
-        """Copy turns to other members until `copy_count` of them store each turn."""
-        if not turns:
-            return
-        request = WhichTurns(turn_ids=list(turns))
-        replies = await asyncio.gather(
-            *(
-                self._call(m.address, WHICH_TURNS, request, timeout_s=PULL_TIMEOUT_S)
-                for m in others
-            )
-        )
-        copies: dict[str, set[str]] = {turn_id: set() for turn_id in turns}
-        for member, reply in zip(others, replies, strict=True):
-            for turn_id in reply.turn_ids:
-                copies[turn_id].add(member.disk_id)
-        disks = [member.disk_id for member in others]
-        targets = {
-            turn_id: _choose_new_holders(turn_id, holders, disks, copy_count)
-            for turn_id, holders in copies.items()
-        }
-        await asyncio.gather(
-            *(
-                self._push_turns(
-                    member,
-                    [turns[t] for t, to in targets.items() if member.disk_id in to],
-                )
-                for member in others
-            )
+        await self._copier.push_missing_copies(
+            turns, others, self._losses_tolerated + 1
         )
-
-    async def _push_turns(self, member: Member, turns: list[TurnRecord]) -> None:
-        for start in range(0, len(turns), PUSH_BATCH_TURNS):
-            batch = turns[start : start + PUSH_BATCH_TURNS]
-            await self._call(
-                member.address,
-                PUT_TURNS,
-                PutTurns(turns=batch, lifetimes=self._replica.lifetimes(batch)),
-                timeout_s=PULL_TIMEOUT_S,
-            )
-
-    async def _push_ledgers(self, member: Member) -> None:
-        ledgers = self._replica.ledgers()
-        for start in range(0, len(ledgers), PUSH_BATCH_LEDGERS):
-            await self._call(
-                member.address,
-                PUT_LEDGERS,
-                PutLedgers(ledgers=ledgers[start : start + PUSH_BATCH_LEDGERS]),
-                timeout_s=PULL_TIMEOUT_S,
-            )
+        await asyncio.gather(*(self._copier.push_ledgers(member) for member in others))
+        return True
 
     async def _leave_member_list(self) -> bool:
         current_map = await self._map_store.read()
@@ -555,12 +499,3 @@
         version = await self._map_store.write(member_list, current_map.version)
         self.update_map(MemberMap(version=version, member_list=member_list))
         return True
-
-
-def _choose_new_holders(
-    turn_id: str, holders: set[str], disks: list[str], copies: int
-) -> list[str]:
-    """Return the disks to copy a turn to, so that it has `copies` copies."""
-    missing = max(0, copies - len(holders))
-    candidates = [disk for disk in disks if disk not in holders]
-    return rank(turn_id, candidates)[:missing]
