Deny a turn only by a list as new as the members know

An entry whose member list was a second old asked the three members that it knew; the turn was on two machines that had joined since. It needs as many added machines at once as a turn has copies.

Cause: "not found" was decided by the members of the entry's list, and nothing told the entry that there was a newer one. Members now state the version of the list that they know with each chain; a member that knows a newer list does not count as one that denies the turn, and the entry fetches the list and asks again within the deadline.

What remains: a member that joined and has reached no other one yet can take turns that nobody else knows of, for as long as it is cut off.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -403,7 +403,7 @@
 
     async def _send_read(self, member: Member, turn_id: str) -> Chain | None:
         try:
-            return await self._call(
+            chain: Chain = await self._call(
                 member.address,
                 READ_CHAIN,
                 ReadChain(turn_id=turn_id, assignment=member.assignment),
@@ -412,6 +412,9 @@
         except (LentilroadError, TimeoutError) as error:
             self._record_failure(member, error)
             return None
+        if chain.map_version > self._member_map.version:
+            self._refresh_map(member)
+        return chain
 
     async def _send_reserve(
         self, member: Member, request: Reserve, timeout_s: float
@@ -428,6 +431,7 @@
             return None
 
     async def _find_turn(self, turn_id: str, key: str, deadline_s: float) -> Chain:
+        map_version = self._member_map.version
         candidates = self._nearest_members(key)
         disks_without_turn: set[str] = set()
         async with ConcurrentCalls() as calls:
@@ -443,7 +447,8 @@
                         continue
                     if chain.turns:
                         return chain
-                    if chain.complete_disk:
+                    # Members of a newer list may store the turn.
+                    if chain.complete_disk and chain.map_version <= map_version:
                         disks_without_turn.add(chain.disk_id)
                 for member in untried:
                     calls.start(self._send_read(member, turn_id))
@@ -454,6 +459,13 @@
         # only copy of the turn, so every member has to reply that it has no copy.
         if candidates and len(disks_without_turn) == len(candidates):
             raise NotFoundError(f"turn {turn_id} does not exist; start a new chain")
+        if self._map_refresh is not None:
+            await self._map_refresh
+        if (
+            self._member_map.version > map_version
+            and self._clock.monotonic_s() < deadline_s
+        ):
+            return await self._find_turn(turn_id, key, deadline_s)
         raise UnavailableError(
             f"turn {turn_id} was not found, but only {len(disks_without_turn)} of "
             f"{len(candidates)} storage members confirmed its absence; send the turn "
@@ -474,9 +486,12 @@
                 error=str(error) or type(error).__name__,
                 map_version=self._member_map.version,
             )
-        if isinstance(error, StaleMapError) and (
-            self._map_refresh is None or self._map_refresh.done()
-        ):
+        if isinstance(error, StaleMapError):
+            self._refresh_map(member)
+
+    def _refresh_map(self, member: Member) -> None:
+        """Fetch the member list from a member that knows a newer one."""
+        if self._map_refresh is None or self._map_refresh.done():
             self._map_refresh = asyncio.create_task(self._fetch_member_map(member))
 
     async def _fetch_member_map(self, member: Member) -> None:
--- a/lentilroad/conversation/messages.py
+++ b/lentilroad/conversation/messages.py
@@ -109,12 +109,15 @@
         Newest first; empty if the disk lacks the requested turn.
     missing_id : str
         First turn of the chain that the disk lacks; empty if the chain is complete.
+    map_version : int
+        Version of the member list that the disk knows.
     """
 
     disk_id: str
     complete_disk: bool
     turns: list[TurnRecord]
     missing_id: str = ""
+    map_version: int = 0
 
 
 class Grant(Message):
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -106,6 +106,8 @@
         Size of the disk.
     member_disks : callable
         Returns the disk ids of the current member list.
+    map_version : callable
+        Returns the version of the current member list.
     members : callable
         Returns the version and the encoded member list, which is sent to callers with
         an older list.
@@ -125,6 +127,7 @@
         clock: Clock,
         disk_bytes: int,
         member_disks: Callable[[], set[str]],
+        map_version: Callable[[], int],
         members: Callable[[], tuple[int, bytes]],
         update_members: Callable[[int, bytes], None],
         lifetimes: LifetimeTable,
@@ -137,6 +140,7 @@
         self._clock = clock
         self._disk_bytes = disk_bytes
         self._member_disks = member_disks
+        self._map_version = map_version
         self._members = members
         self._update_members = update_members
         self._lifetimes = lifetimes
@@ -277,6 +281,7 @@
             complete_disk=self.has_copied(request.assignment),
             turns=turns,
             missing_id=next_id,
+            map_version=self._map_version(),
         )
 
     async def reserve(self, request: Reserve) -> Ledger:
@@ -295,8 +300,7 @@
                 f"{request.map_version} is outdated; read the member list again"
             )
         if not self.has_copied(request.assignment):
-            map_version, _ = self._members()
-            if request.map_version < map_version:
+            if request.map_version < self._map_version():
                 raise StaleMapError(
                     f"the member list of version {request.map_version} is outdated; "
                     "read the member list again"
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -112,6 +112,7 @@
         clock=clock,
         disk_bytes=settings.disk_mb * BYTES_PER_MB,
         member_disks=lambda: member_disk_ids,
+        map_version=lambda: current_map.version,
         members=lambda: (
             current_map.version,
             encode_members(current_map.member_list),
--- a/tests/conversation/test_assignments.py
+++ b/tests/conversation/test_assignments.py
@@ -13,7 +13,7 @@
 from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
 from lentilroad.conversation.members import MemberList, encode_members
 from lentilroad.conversation.messages import ReadChain, Reserve
-from lentilroad.errors import BudgetExhaustedError
+from lentilroad.errors import BudgetExhaustedError, NotFoundError
 from lentilroad.standins.virtual_loop import run_virtual
 from tests.fakes.storage_cluster import (
     StorageCluster,
@@ -303,6 +303,29 @@
     run_virtual(run())
 
 
+def test_entry_with_an_older_list_finds_a_turn_on_added_disks() -> None:
+    """Guard against a 404 for a turn that only members of a newer list store (LOST)."""
+
+    async def run() -> None:
+        cluster, _ = await _start_cluster()
+        outdated = cluster.client("thies", "entry-2")
+        cluster.member_store.watchers.remove(outdated.update_map)
+        for name, region in (("added-0", "lisbon"), ("added-1", "porto")):
+            cluster.add(name, region).start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        client = cluster.client("lisbon", "entry-3")
+        for number in range(3):
+            cluster.cut_links.add(("entry-3", f"store-{number}"))
+        await client.put_turn(turn("a"), key="p")
+        holders = [n.name for n in cluster.nodes.values() if n.stores("a")]
+        assert sorted(holders) == ["added-0", "added-1"]
+        assert (await outdated.read_chain("a", key="p"))[0].turn_id == "a"
+        with pytest.raises(NotFoundError):
+            await outdated.read_chain("never", key="p")
+
+    run_virtual(run())
+
+
 async def _let_journals_drop_their_first_segments(cluster: StorageCluster) -> None:
     client = cluster.client("dakar")
     nodes = [node for node in cluster.nodes.values() if node.running]
--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -224,6 +224,7 @@
             member_disks=lambda: {
                 m.disk_id for m in self._member_map.member_list.members
             },
+            map_version=lambda: self._member_map.version,
             members=lambda: (
                 self._member_map.version,
                 encode_members(self._member_map.member_list),
--- a/tests/platform/test_unreadable_content.py
+++ b/tests/platform/test_unreadable_content.py
@@ -281,6 +281,7 @@
             clock=clock,
             disk_bytes=10**8,
             member_disks=set,
+            map_version=lambda: 0,
             members=lambda: (0, b""),
             update_members=lambda version, members: None,
             lifetimes=LifetimeTable(),
