--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -79,14 +79,26 @@
     assert findings.storage_changes > 0
 
 
-@pytest.mark.parametrize("seed", [13])
+@pytest.mark.parametrize(
+    ("seed", "storages"),
+    [
+        (13, 3),
+        # A turn was denied by an entry whose list lacked the machines that stored it.
+        (2014, 5),
+    ],
+)
 def test_no_conversation_is_lost_while_storage_machines_change(
-    seed: int, tmp_path: Path
+    seed: int, storages: int, tmp_path: Path
 ) -> None:
     """Guard against conversations lost by lost answers and changed machines (LOST)."""
     findings = asyncio.run(
         run_soak(
-            folder=tmp_path, seed=seed, duration_s=25.0, callers=6, retention_s=5.0
+            folder=tmp_path,
+            seed=seed,
+            duration_s=25.0,
+            callers=6,
+            storages=storages,
+            retention_s=5.0,
         )
     )
     assert findings.violations == []
