--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -44,7 +44,12 @@
 from lentilroad.soak.proxy import LinkFault, LinkProxy
 from lentilroad.soak.statements import LimitPeriod, StatementChecks
 from lentilroad.soak.stops import stop_entries
-from lentilroad.soak.world import RETENTION_S, ProgramProcess, World
+from lentilroad.soak.world import (
+    RETENTION_S,
+    WORKER_SLOTS,
+    ProgramProcess,
+    World,
+)
 
 # Starting six processes takes many seconds on a busy machine.
 START_TIMEOUT_S = 120.0
@@ -60,7 +65,6 @@
 # Callers of planned work that fill the slots of all workers.
 CHARGING_CALLERS = 72
 FEW_WORKER_SLOTS = 2
-WORKER_SLOTS = 8
 # Shares of a worker's faults: it states a limit, or leaves, also as the list has it.
 LIMIT_SHARE = 0.6
 LISTED_DRAIN_SHARE = 0.5
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -27,6 +27,7 @@
 MAX_TOKENS_PER_TURN = EVENTS_PER_TURN * TOKENS_PER_EVENT
 RETENTION_S = 60.0
 GRACE_S = 4.0
+WORKER_SLOTS = 8
 READY_POLL_S = 0.1
 START_INTERVAL_S = 0.05
 # Loopback networks of concurrent runs, and pairs of third octets within each.
@@ -175,7 +176,7 @@
         folder: Path,
         source: random.Random,
         retention_s: float = RETENTION_S,
-        worker_slots: int,
+        worker_slots: int = WORKER_SLOTS,
     ) -> None:
         self.retention_s = retention_s
         self._worker_slots = worker_slots
