Keep the fetch of the member list when one of its callers leaves

Found by reading the change, not by callers: since turns are denied only by a new list, requests wait for a shared fetch of it. A caller that left cancelled the fetch, and each other request that waited for it was cancelled as well and ended without an answer. The wait for a reservation had the same fault before.

Both now wait for the fetch through one shielded function. Evidence: the new test fails with the former client (CancelledError in the request that stays) and passes now, as does all of tests/conversation.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -277,8 +277,7 @@
                 return await self._try_reserve(program_id, grant)
             except UnavailableError:
                 # Retry only if the member map was updated in the meantime.
-                if self._map_refresh is not None:
-                    await self._map_refresh
+                await self._refreshed_map()
                 if self._member_map.version == version:
                     raise
         return await self._try_reserve(program_id, grant)
@@ -459,8 +458,7 @@
         # only copy of the turn, so every member has to reply that it has no copy.
         if candidates and len(disks_without_turn) == len(candidates):
             raise NotFoundError(f"turn {turn_id} does not exist; start a new chain")
-        if self._map_refresh is not None:
-            await self._map_refresh
+        await self._refreshed_map()
         if (
             self._member_map.version > map_version
             and self._clock.monotonic_s() < deadline_s
@@ -494,6 +492,12 @@
         if self._map_refresh is None or self._map_refresh.done():
             self._map_refresh = asyncio.create_task(self._fetch_member_map(member))
 
+    async def _refreshed_map(self) -> None:
+        """Wait for a fetch of the member list that is under way, if any."""
+        if self._map_refresh is not None:
+            # Shielded: other requests wait for the same fetch.
+            await asyncio.shield(self._map_refresh)
+
     async def _fetch_member_map(self, member: Member) -> None:
         try:
             reply: ProbeReply = await self._call(
--- a/tests/conversation/test_assignments.py
+++ b/tests/conversation/test_assignments.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 
@@ -12,7 +13,7 @@
 from lentilroad.conversation.client import StorageClient
 from lentilroad.conversation.errors import NotCaughtUpError, StaleMapError
 from lentilroad.conversation.members import MemberList, encode_members
-from lentilroad.conversation.messages import ReadChain, Reserve
+from lentilroad.conversation.messages import PROBE, ReadChain, Reserve
 from lentilroad.errors import BudgetExhaustedError, NotFoundError
 from lentilroad.standins.virtual_loop import run_virtual
 from tests.fakes.storage_cluster import (
@@ -326,6 +327,41 @@
     run_virtual(run())
 
 
+def _delaying_probes(
+    cluster: StorageCluster, call: Callable[..., Awaitable[Any]]
+) -> Callable[..., Awaitable[Any]]:
+    async def delayed(address: str, method: Any, request: Any, timeout_s: float) -> Any:
+        if method is PROBE:
+            await cluster.clock.sleep(0.06)
+        return await call(address, method, request, timeout_s=timeout_s)
+
+    return delayed
+
+
+def test_caller_that_leaves_ends_no_fetch_of_the_member_list_of_others() -> None:
+    """Guard against a request that is cancelled with the fetch that another awaits."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        old_map = cluster.member_store.member_map
+        cluster.add("added", "lisbon").start()
+        await cluster.clock.sleep(CATCH_UP_S)
+        await client.put_turn(turn("a"), key="p")
+        for delay_ms in range(0, 120, 3):
+            outdated = cluster.client("thies", "entry-2")
+            outdated._member_map = old_map
+            outdated._call = _delaying_probes(cluster, outdated._call)
+            leaving = asyncio.ensure_future(outdated.read_chain("never", key="p"))
+            staying = asyncio.ensure_future(outdated.read_chain("never", key="q"))
+            await cluster.clock.sleep(delay_ms / 1000)
+            leaving.cancel()
+            with pytest.raises(NotFoundError):
+                await staying
+            await asyncio.gather(leaving, return_exceptions=True)
+
+    run_virtual(run())
+
+
 async def _let_journals_drop_their_first_segments(cluster: StorageCluster) -> None:
     client = cluster.client("dakar")
     nodes = [node for node in cluster.nodes.values() if node.running]
