--- a/lentilroad/conversation/lifetimes.py
+++ b/lentilroad/conversation/lifetimes.py
@@ -74,9 +74,6 @@
         self._announced: dict[str, None] = {}
         self.last_change = 0
 
-    def __contains__(self, key: str) -> bool:
-        return key in self._lifetimes
-
     def extend(
         self,
         key: str,
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -248,7 +248,9 @@
                 return await self._serve_call(exchange)
         except TimeoutError as error:
             if exchange.possible_runs:
-                end = "this entry stops" if exchange.stops_at_deadline else "deadline"
+                end = "deadline"
+                if exchange.stops_at_deadline:
+                    end = "stop of this entry"
                 raise DeadlineExceededError(
                     f"{exchange.service} did not respond before the {end}",
                     outcome="unknown",
