Tell the crashes of an instance apart by the requests that it ran

Both crashes had the same identity, id and time of the start, so that the second one was taken for a report of the first.

Change: a report states when the newest of its requests was sent. One that was sent more than 0.3 s after a crash had been reported ran after the restart, so its crash is another one, whatever starts the entry knows. Reports that are sent again later state the age that they have then.

Measured: the new test of a crash before its restart is listed fails with the former rule and passes now; a late report still counts once.

--- a/lentilroad/membership/crash_causes.py
+++ b/lentilroad/membership/crash_causes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -15,9 +16,9 @@
 from lentilroad.membership.crash_evidence import (
     BAN_AFTER_CRASHES,
     LIKELY_CAUSE_CRASHES,
+    SETTLE_S,
     Crash,
     CrashEvidence,
-    Incarnation,
 )
 from lentilroad.membership.crash_messages import (
     CrashReport,
@@ -34,8 +35,6 @@
 
 # Number of members that coordinate crashes.
 CRASH_COORDINATORS = 2
-# Entries report one crash within this time of each other.
-SETTLE_S = 0.3
 # A likely cause runs only while less than this share of the instances crashed in this
 # time; a crashed instance is away for some seconds.
 RECOVERY_S = 4.0
@@ -58,6 +57,9 @@
 WAITING_EXPIRY_S = 1.0
 MAX_WAITING = 1024
 
+# Id of an instance and the time of its start, as an entry knows it.
+Incarnation = tuple[str, int]
+
 
 @dataclass(slots=True, kw_only=True)
 class _Ban:
@@ -93,8 +95,6 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._started_s = clock.monotonic_s()
-        # Numbers of the crashes that entries know from before this start.
-        self._adopted_numbers = itertools.count()
         self._evidence = CrashEvidence()
         self._bans: OrderedDict[bytes, _Ban] = OrderedDict()
         self._trials: dict[Incarnation, _Trial] = {}
@@ -109,13 +109,14 @@
         incarnation = (request.instance_id, request.started_ms)
         self._trials.pop(incarnation, None)
         self._evidence.record(
-            incarnation,
+            request.instance_id,
             Crash(
                 service=request.service,
                 first_report_s=now_s,
                 instances=request.instances,
             ),
             request.runs,
+            last_sent_s=now_s - request.last_sent_age_s,
         )
         for run in request.runs:
             for key in run.digests():
@@ -127,8 +128,10 @@
         log_event(
             "crash_reported",
             instance=request.instance_id,
+            started_ms=request.started_ms,
             service=request.service,
             runs=len(request.runs),
+            last_sent_age_s=round(request.last_sent_age_s, 3),
             instances=request.instances,
             suspects=len(suspects),
         )
@@ -212,13 +215,15 @@
         counted = self._evidence.run_crash_count(request.fingerprint)
         for _ in range(counted, min(request.known_crashes, BAN_AFTER_CRASHES)):
             self._evidence.record(
-                (ADOPTED_INSTANCE_ID, next(self._adopted_numbers)),
+                ADOPTED_INSTANCE_ID,
                 Crash(
                     service=request.service,
                     first_report_s=now_s,
                     instances=request.instances,
                 ),
                 [request.fingerprint],
+                # Each of them is a crash of its own.
+                last_sent_s=math.inf,
             )
 
     def _learn_bans(self, suspects: list[Suspect], now_s: float) -> None:
--- a/lentilroad/membership/crash_evidence.py
+++ b/lentilroad/membership/crash_evidence.py
@@ -12,13 +12,15 @@
 # only be run while few instances are down.
 LIKELY_CAUSE_CRASHES = 2
 BAN_AFTER_CRASHES = 3
+# Entries report one crash within this time of each other.
+SETTLE_S = 0.3
 EVIDENCE_EXPIRY_S = 600.0
 MAX_CRASHES = 512
 MAX_RUNS_PER_CRASH = 64
 MAX_RUNS = 4096
 
-# Id of an instance and the time of its start.
-Incarnation = tuple[str, int]
+# Id of an instance and the number of its crash.
+CrashKey = tuple[str, int]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -48,20 +50,49 @@
     The oldest crashes are dropped when the evidence exceeds its limits.
     """
 
-    __slots__ = ("_by_key", "_crashes", "_repeated", "_runs")
+    __slots__ = ("_by_key", "_crashes", "_latest", "_repeated", "_runs")
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
-        self._by_key: dict[bytes, dict[Incarnation, Crash]] = {}
+        self._crashes: OrderedDict[CrashKey, Crash] = OrderedDict()
+        # Newest crash of each instance.
+        self._latest: dict[str, CrashKey] = {}
+        self._by_key: dict[bytes, dict[CrashKey, Crash]] = {}
         # Digests that were in several crashes, in order of their second one.
         self._repeated: dict[bytes, None] = {}
         self._runs = 0
 
     def record(
-        self, incarnation: Incarnation, crash: Crash, runs: Iterable[Fingerprint]
+        self,
+        instance_id: str,
+        crash: Crash,
+        runs: Iterable[Fingerprint],
+        *,
+        last_sent_s: float,
+    ) -> None:
+        """Add requests to a crash of an instance, which its first report creates.
+
+        An entry may know a restart under the same id later than the next crash. So
+        crashes are told apart by what ran: requests that were sent after a crash had
+        been reported ran after the restart.
+
+        Parameters
+        ----------
+        last_sent_s : float
+            Monotonic time at which the newest of the requests was sent.
+        """
+        key = self._latest.get(instance_id)
+        known = None if key is None else self._crashes[key]
+        if known is None or last_sent_s > known.first_report_s + SETTLE_S:
+            key = (instance_id, 0 if key is None else key[1] + 1)
+            self._latest[instance_id] = key
+            self._crashes[key] = known = crash
+        self._add_runs(key, known, runs)
+        while self._runs > MAX_RUNS or len(self._crashes) > MAX_CRASHES:
+            self._remove(next(iter(self._crashes)))
+
+    def _add_runs(
+        self, crash_key: CrashKey, crash: Crash, runs: Iterable[Fingerprint]
     ) -> None:
-        """Add requests to a crash, which is created by its first report."""
-        crash = self._crashes.setdefault(incarnation, crash)
         if crash.explained:
             return
         for run in runs:
@@ -71,19 +102,17 @@
             self._runs += 1
             for key in run.digests():
                 crashes = self._by_key.setdefault(key, {})
-                crashes[incarnation] = crash
+                crashes[crash_key] = crash
                 if len(crashes) > 1:
                     self._repeated[key] = None
-        while self._runs > MAX_RUNS or len(self._crashes) > MAX_CRASHES:
-            self._remove(next(iter(self._crashes)))
 
     def expire(self, now_s: float) -> None:
         """Remove crashes that are too old."""
         while self._crashes:
-            incarnation, oldest = next(iter(self._crashes.items()))
+            crash_key, oldest = next(iter(self._crashes.items()))
             if now_s - oldest.first_report_s <= EVIDENCE_EXPIRY_S:
                 return
-            self._remove(incarnation)
+            self._remove(crash_key)
 
     def clear(self, key: bytes) -> None:
         """Remove a digest from all crashes, since a request with it succeeded."""
@@ -95,13 +124,13 @@
 
         Requests that share the digest keep their evidence.
         """
-        for incarnation, crash in self._by_key.get(key, {}).items():
+        for crash_key, crash in self._by_key.get(key, {}).items():
             crash.explained = True
             for run in [run for run in crash.runs if key not in run.digests()]:
                 crash.runs.discard(run)
                 self._runs -= 1
                 for other in run.digests():
-                    self._drop(other, incarnation)
+                    self._drop(other, crash_key)
 
     def run_count(self) -> int:
         """Return the number of requests in all crashes."""
@@ -161,11 +190,11 @@
         related = self._by_key.get(key, {})
         return sum(
             1
-            for incarnation, crash in self._crashes.items()
+            for crash_key, crash in self._crashes.items()
             if crash.service == service
             and crash.first_report_s >= since_s
             and not crash.explained
-            and incarnation not in related
+            and crash_key not in related
             and not self._has_likely_cause(crash)
         )
 
@@ -176,18 +205,21 @@
             for key in run.digests()
         )
 
-    def _remove(self, incarnation: Incarnation) -> None:
-        crash = self._crashes.pop(incarnation)
+    def _remove(self, crash_key: CrashKey) -> None:
+        crash = self._crashes.pop(crash_key)
+        instance_id, _ = crash_key
+        if self._latest[instance_id] == crash_key:
+            del self._latest[instance_id]
         self._runs -= len(crash.runs)
         for run in crash.runs:
             for key in run.digests():
-                self._drop(key, incarnation)
+                self._drop(key, crash_key)
 
-    def _drop(self, key: bytes, incarnation: Incarnation) -> None:
+    def _drop(self, key: bytes, crash_key: CrashKey) -> None:
         crashes = self._by_key.get(key)
         if crashes is None:
             return
-        crashes.pop(incarnation, None)
+        crashes.pop(crash_key, None)
         if len(crashes) < 2:
             self._repeated.pop(key, None)
         if not crashes:
--- a/lentilroad/membership/crash_messages.py
+++ b/lentilroad/membership/crash_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 
 import msgspec
@@ -65,6 +66,8 @@
         Number of instances of the service that the entry knows.
     bans : list of Suspect
         Bans that the entry knows; the coordinator may have restarted.
+    last_sent_age_s : float
+        Seconds since the newest of the runs was sent; infinite if unknown.
     """
 
     service: str
@@ -73,6 +76,7 @@
     instances: int
     runs: list[Fingerprint]
     bans: list[Suspect]
+    last_sent_age_s: float = math.inf
 
 
 class TrialRequest(msgspec.Struct, kw_only=True, array_like=True):
--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -25,7 +25,7 @@
     REFUSALS_MAX,
     SERVICE_RETRY_AFTER_MAX_S,
 )
-from lentilroad.request.crash_detection import CrashDetector
+from lentilroad.request.crash_detection import CrashDetector, LostRun
 from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange, NotExecutedError, read_response
@@ -106,6 +106,7 @@
             state = await self._selector.acquire(exchange, placement)
             exchange.acquired_instance = state
             exchange.termination_probe = None
+            exchange.sent_s = None
             self._check_stop(exchange, state)
             can_fail_over = (
                 exchange.remaining_sends() > 1
@@ -123,7 +124,7 @@
                 state.record_outcome(failed=True)
                 if error.connection_lost:
                     exchange.termination_probe = self._crash_detector.record_lost_run(
-                        state, exchange.fingerprint()
+                        state, _lost_run(exchange)
                     )
                 if error.request_written:
                     await self._check_may_resend(exchange, state, error)
@@ -243,6 +244,7 @@
         async with state.pool.connection() as connection:
             exchange.sends += 1
             exchange.possible_runs += 1
+            exchange.sent_s = self._clock.monotonic_s()
             head = await self._response_head(
                 exchange,
                 state,
@@ -384,6 +386,13 @@
         )
 
 
+def _lost_run(exchange: Exchange) -> LostRun:
+    return LostRun(
+        fingerprint=exchange.fingerprint(),
+        sent_s=exchange.began_s if exchange.sent_s is None else exchange.sent_s,
+    )
+
+
 async def _has_terminated(exchange: Exchange, state: UpstreamState) -> bool:
     """Return whether the process that ran the request has ended."""
     if state.removed:
--- a/lentilroad/request/crash_detection.py
+++ b/lentilroad/request/crash_detection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from lentilroad.connection.http_exchange import refuses_connections
 from lentilroad.membership.crash_messages import Fingerprint
@@ -11,7 +12,22 @@
 from lentilroad.process.events import log_event
 from lentilroad.request.const import PROCESS_PROBE_TIMEOUT_S
 
-ReportCrash = Callable[[UpstreamState, list[Fingerprint]], Awaitable[None]]
+
+@dataclass(slots=True, kw_only=True)
+class LostRun:
+    """Run of a request without a complete response.
+
+    Attributes
+    ----------
+    sent_s : float
+        Monotonic time at which the request was sent.
+    """
+
+    fingerprint: Fingerprint
+    sent_s: float
+
+
+ReportCrash = Callable[[UpstreamState, list[LostRun]], Awaitable[None]]
 
 
 class CrashDetector:
@@ -24,18 +40,15 @@
     Parameters
     ----------
     report : callable
-        Receives a crashed instance and the fingerprints of the requests of this
-        process that were running on it.
+        Receives a crashed instance and the runs of this process that it lost.
     """
 
     def __init__(self, *, report: ReportCrash) -> None:
         self._report = report
-        self._lost_runs: dict[UpstreamState, list[Fingerprint]] = {}
+        self._lost_runs: dict[UpstreamState, list[LostRun]] = {}
         self._probes: dict[UpstreamState, asyncio.Task[bool]] = {}
 
-    def record_lost_run(
-        self, state: UpstreamState, fingerprint: Fingerprint
-    ) -> asyncio.Task[bool]:
+    def record_lost_run(self, state: UpstreamState, run: LostRun) -> asyncio.Task[bool]:
         """Record that the connection of a running request was lost.
 
         Returns
@@ -43,7 +56,7 @@
         asyncio.Task of bool
             Whether the instance has terminated; a crash was then reported.
         """
-        self._lost_runs.setdefault(state, []).append(fingerprint)
+        self._lost_runs.setdefault(state, []).append(run)
         probe = self._probes.get(state)
         if probe is None:
             probe = self._probes[state] = asyncio.ensure_future(self._probe(state))
@@ -64,7 +77,10 @@
             service=state.instance.service,
             terminated=terminated,
             planned=planned,
-            requests=[[run.target.hex(), run.content.hex()] for run in runs],
+            requests=[
+                [run.fingerprint.target.hex(), run.fingerprint.content.hex()]
+                for run in runs
+            ],
         )
         if terminated and not planned:
             await self._report(state, runs)
--- a/lentilroad/request/crash_suspects.py
+++ b/lentilroad/request/crash_suspects.py
@@ -26,6 +26,7 @@
 from lentilroad.membership.suspicions import REPORT_FANOUT
 from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamState
 from lentilroad.process.events import log_event
+from lentilroad.request.crash_detection import LostRun
 from lentilroad.request.suspect_table import SuspectTable
 
 CALL_TIMEOUT_S = 0.25
@@ -85,7 +86,8 @@
         self.reported_crashes = 0
         # Whether the bans of the other entries were read once.
         self.synchronized = False
-        self._unreported: list[CrashReport] = []
+        # Reports that reached no coordinator, and when the newest run was sent.
+        self._unreported: list[tuple[CrashReport, float]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def suspected_count(self) -> int:
@@ -146,19 +148,21 @@
             return reply
         return None
 
-    async def report_crash(self, state: UpstreamState, runs: list[Fingerprint]) -> None:
+    async def report_crash(self, state: UpstreamState, runs: list[LostRun]) -> None:
         """Report the requests that ran on a crashed instance; see `CrashDetector`."""
+        last_sent_s = max(run.sent_s for run in runs)
+        fingerprints = (self._blamed(run.fingerprint) for run in runs)
         instance = state.instance
         report = CrashReport(
             service=instance.service,
             instance_id=instance.instance_id,
             started_ms=instance.started_ms,
             instances=len(self._directory.instances(instance.service)),
-            runs=[blamed for run in runs if (blamed := self._blamed(run)).digests()],
+            runs=[run for run in fingerprints if run.digests()],
             bans=self._table.bans(),
         )
         self.reported_crashes += 1
-        await self._send_report(report)
+        await self._send_report(report, last_sent_s)
 
     def record_trial_end(
         self,
@@ -227,8 +231,8 @@
         does not.
         """
         unreported, self._unreported = self._unreported, []
-        for report in unreported:
-            await self._send_report(report)
+        for report, last_sent_s in unreported:
+            await self._send_report(report, last_sent_s)
         request = SuspectList(suspects=self._table.bans())
         replies = await asyncio.gather(
             *(
@@ -244,7 +248,8 @@
                 self.synchronized = True
         return self.synchronized
 
-    async def _send_report(self, report: CrashReport) -> None:
+    async def _send_report(self, report: CrashReport, last_sent_s: float) -> None:
+        report.last_sent_age_s = self._clock.monotonic_s() - last_sent_s
         # Both coordinators collect the evidence, so that either may decide.
         replies = await asyncio.gather(
             *(
@@ -253,7 +258,8 @@
             )
         )
         if all(reply is None for reply in replies):
-            self._unreported = [*self._unreported, report][-MAX_UNREPORTED_CRASHES:]
+            unreported = [*self._unreported, (report, last_sent_s)]
+            self._unreported = unreported[-MAX_UNREPORTED_CRASHES:]
         for reply in replies:
             if reply is not None:
                 self._merge(reply.suspects, fanout=REPORT_FANOUT)
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -43,6 +43,8 @@
     ended_runs : int
         Possible runs whose instance has terminated since; they do not count against
         the attempts of the route.
+    sent_s : float or None
+        Monotonic time of the last send to `acquired_instance`, if any.
     refusals : int
         Attempts that an instance refused as not run or that could not connect.
     acquired_instance : UpstreamState or None
@@ -71,6 +73,7 @@
     sends: int = 0
     possible_runs: int = 0
     ended_runs: int = 0
+    sent_s: float | None = None
     refusals: int = 0
     instance_id: str = ""
     acquired_instance: UpstreamState | None = None
--- a/tests/membership/test_crash_causes.py
+++ b/tests/membership/test_crash_causes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 import pytest
 
@@ -44,17 +45,24 @@
         self.coordinator = CrashCoordinator(clock=self.clock)
         self._numbers = itertools.count()
 
-    async def crash(self, *runs: Fingerprint, after_s: float = RECOVERY_S + 1) -> None:
-        """Let an instance crash while it runs requests."""
+    async def crash(
+        self,
+        *runs: Fingerprint,
+        after_s: float = RECOVERY_S + 1,
+        instance_id: str = "",
+        last_sent_age_s: float = math.inf,
+    ) -> None:
+        """Let an instance crash while it runs requests; a new one unless named."""
         self.clock.now_s += after_s
         await self.coordinator.report(
             CrashReport(
                 service="svc",
-                instance_id=f"i-{next(self._numbers)}",
+                instance_id=instance_id or f"i-{next(self._numbers)}",
                 started_ms=1,
                 instances=INSTANCES,
                 runs=list(runs),
                 bans=[],
+                last_sent_age_s=last_sent_age_s,
             )
         )
 
@@ -144,6 +152,25 @@
     assert await system.trial(INNOCENT) is TrialDecision.CLEARED
 
 
+# BUDGET: the next crash of a restarted instance was taken for a report of the last one.
+async def test_crash_after_a_restart_that_entries_do_not_know_yet_counts() -> None:
+    """Guard against a request that is banned late by entries with an old list."""
+    system = _System()
+    for _ in range(3):
+        await system.crash(DEADLY, instance_id="i-0", last_sent_age_s=0.1)
+    assert await system.is_banned(DEADLY)
+
+
+async def test_late_report_of_a_crash_does_not_count_twice() -> None:
+    """Guard against a ban by entries that notice one crash at different times."""
+    system = _System()
+    for after_s in (5.0, 0.2, 3.0):
+        await system.crash(
+            DEADLY, instance_id="i-0", after_s=after_s, last_sent_age_s=after_s + 0.1
+        )
+    assert not await system.is_banned(DEADLY)
+
+
 async def test_instances_that_crash_by_themselves_ban_no_request() -> None:
     """Guard against a ban of a long request in a service that keeps crashing."""
     system = _System()
