Count the crash of a leaving instance against a request on trial

Cause: the crash of an instance that leaves was never counted, since it may end as planned. While others are down, leaving instances are the last resort, so that such a request is sent to them more often than others.

Change: it counts against requests on trial, which were in a crash of an instance that did not leave. A sound request is still cleared by its next success, and an instance that leaves serves what it has accepted before it ends.

--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -390,6 +390,7 @@
     return LostRun(
         fingerprint=exchange.fingerprint(),
         sent_s=exchange.began_s if exchange.sent_s is None else exchange.sent_s,
+        on_trial=exchange.on_trial,
     )
 
 
--- a/lentilroad/request/crash_detection.py
+++ b/lentilroad/request/crash_detection.py
@@ -21,10 +21,13 @@
     ----------
     sent_s : float
         Monotonic time at which the request was sent.
+    on_trial : bool
+        Whether the request was a suspect of earlier crashes.
     """
 
     fingerprint: Fingerprint
     sent_s: float
+    on_trial: bool
 
 
 ReportCrash = Callable[[UpstreamState, list[LostRun]], Awaitable[None]]
@@ -34,8 +37,9 @@
     """Tells crashes of instances from failures of single connections.
 
     An instance has crashed if it refuses connections after it lost some. All requests
-    that it lost meanwhile belong to the same crash. An instance that leaves ends as
-    planned, and one that does not respond may still be running.
+    that it lost meanwhile belong to the same crash. One that does not respond may still
+    be running. An instance that leaves may end as planned, which counts only against
+    suspects of earlier crashes.
 
     Parameters
     ----------
@@ -82,6 +86,8 @@
                 for run in runs
             ],
         )
-        if terminated and not planned:
+        if planned:
+            runs = [run for run in runs if run.on_trial]
+        if terminated and runs:
             await self._report(state, runs)
         return terminated
--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -19,7 +19,7 @@
 from lentilroad.standins.virtual_loop import run_virtual
 from lentilroad.version.routes import Route, RouteKind
 from tests.fakes.crashes import CrashCoordinatorGroup
-from tests.fakes.crashing_fleet import CrashingFleet
+from tests.fakes.crashing_fleet import RUN_S, CrashingFleet
 from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
 from tests.fakes.raw_server import RawRequest, raw_server
 
@@ -341,6 +341,28 @@
         assert entry.suspects.reported_crashes == 0
 
 
+async def _wait_for_reports(entry: SimpleNamespace, count: int) -> None:
+    for _ in range(50):
+        if entry.suspects.reported_crashes >= count:
+            return
+        await asyncio.sleep(RUN_S)
+    pytest.fail("the crash was not reported")
+
+
+# BUDGET: callers reached instances that leave while the others were down.
+async def test_crash_of_a_leaving_instance_counts_against_a_suspect() -> None:
+    """Guard against a request that crashes instances that leave, without a bound."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+        await _send(entry.session, 0, "/non_idempotent/deadly", DEADLY)
+        await _wait_for_reports(entry, 1)
+        for state in entry.directory.instances("svc"):
+            state.drain_s = 60.0
+            state.record_leaving(entry.clock.monotonic_s())
+        await _send(entry.session, 1, "/non_idempotent/deadly", DEADLY)
+        await _wait_for_reports(entry, 2)
+        assert fleet.crashes == 2
+
+
 async def test_request_that_cannot_be_checked_crashes_few_instances() -> None:
     """Guard against endless resends while no coordinator is reachable."""
     async with (
