Report the crash by a suspect that its caller has given up

The entry answered 504 and closed the connection; the worker crashed 0.36 s later, and nobody counted it.

Cause: only a connection that is lost while somebody waits for it starts the check whether the instance has ended.

Change: a trial that is abandoned (deadline, caller gone, no response in time) ends half a second later, after a check of the instance. If it has ended, or another request is lost on it meanwhile, the abandoned run is reported as well.

Measured: the new test fails without the change and passes now, as do tests/request and tests/membership.

--- a/lentilroad/request/attempts.py
+++ b/lentilroad/request/attempts.py
@@ -80,7 +80,7 @@
         self._on_unresponsive = on_unresponsive
         self._on_rate_limit = on_rate_limit
         self._suspects = suspects
-        self._crash_detector = CrashDetector(report=suspects.report_crash)
+        self._crash_detector = CrashDetector(report=suspects.report_crash, clock=clock)
         self._selector = InstanceSelector(
             dispatcher=dispatcher, suspects=suspects, clock=clock
         )
@@ -120,12 +120,17 @@
                 exchange.refusals += 1
                 if exchange.refusals > REFUSALS_MAX:
                     raise
+            except asyncio.CancelledError:
+                self._record_abandoned_trial(exchange, state)
+                raise
             except ExchangeBrokenError as error:
                 state.record_outcome(failed=True)
                 if error.connection_lost:
                     exchange.termination_probe = self._crash_detector.record_lost_run(
                         state, _lost_run(exchange)
                     )
+                elif error.request_written:
+                    self._record_abandoned_trial(exchange, state)
                 if error.request_written:
                     await self._check_may_resend(exchange, state, error)
                 else:
@@ -166,6 +171,14 @@
             target_digest(exchange.inbound), exchange.fingerprint, state
         )
 
+    def _record_abandoned_trial(self, exchange: Exchange, state: UpstreamState) -> None:
+        """Let the trial of a request go on that may still crash the instance."""
+        if not exchange.on_trial or exchange.sent_s is None:
+            return
+        exchange.termination_probe = self._crash_detector.record_abandoned_run(
+            state, _lost_run(exchange)
+        )
+
     def _end_trial(self, exchange: Exchange, state: UpstreamState) -> None:
         if not exchange.on_trial:
             return
--- a/lentilroad/request/crash_detection.py
+++ b/lentilroad/request/crash_detection.py
@@ -6,12 +6,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from lentilroad.clock import Clock
 from lentilroad.connection.http_exchange import refuses_connections
 from lentilroad.membership.crash_messages import Fingerprint
 from lentilroad.membership.upstreams import UpstreamState
 from lentilroad.process.events import log_event
 from lentilroad.request.const import PROCESS_PROBE_TIMEOUT_S
 
+# A run that was abandoned may still crash its instance within this time.
+ABANDONED_RUN_S = 0.5
+
 
 @dataclass(slots=True, kw_only=True)
 class LostRun:
@@ -45,11 +49,15 @@
     ----------
     report : callable
         Receives a crashed instance and the runs of this process that it lost.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, *, report: ReportCrash) -> None:
+    def __init__(self, *, report: ReportCrash, clock: Clock) -> None:
         self._report = report
+        self._clock = clock
         self._lost_runs: dict[UpstreamState, list[LostRun]] = {}
+        self._abandoned_runs: dict[UpstreamState, list[LostRun]] = {}
         self._probes: dict[UpstreamState, asyncio.Task[bool]] = {}
 
     def record_lost_run(self, state: UpstreamState, run: LostRun) -> asyncio.Task[bool]:
@@ -61,6 +69,35 @@
             Whether the instance has terminated; a crash was then reported.
         """
         self._lost_runs.setdefault(state, []).append(run)
+        return self._start_probe(state)
+
+    def record_abandoned_run(
+        self, state: UpstreamState, run: LostRun
+    ) -> asyncio.Task[bool]:
+        """Record that a request was abandoned while the instance may run it.
+
+        Returns
+        -------
+        asyncio.Task of bool
+            Whether the instance has terminated `ABANDONED_RUN_S` later; a crash was
+            then reported.
+        """
+        self._abandoned_runs.setdefault(state, []).append(run)
+        return asyncio.ensure_future(self._watch_abandoned_run(state, run))
+
+    async def _watch_abandoned_run(self, state: UpstreamState, run: LostRun) -> bool:
+        await self._clock.sleep(ABANDONED_RUN_S)
+        if run not in self._abandoned_runs.get(state, []):
+            # Another run was lost meanwhile, and both were reported.
+            return True
+        terminated = await asyncio.shield(self._start_probe(state))
+        if not terminated:
+            self._abandoned_runs[state].remove(run)
+            if not self._abandoned_runs[state]:
+                del self._abandoned_runs[state]
+        return terminated
+
+    def _start_probe(self, state: UpstreamState) -> asyncio.Task[bool]:
         probe = self._probes.get(state)
         if probe is None:
             probe = self._probes[state] = asyncio.ensure_future(self._probe(state))
@@ -73,7 +110,9 @@
             )
         finally:
             del self._probes[state]
-            runs = self._lost_runs.pop(state)
+            runs = self._lost_runs.pop(state, [])
+        if terminated:
+            runs += self._abandoned_runs.pop(state, [])
         planned = state.leaves()
         log_event(
             "upstream_lost_runs",
--- a/lentilroad/request/trials.py
+++ b/lentilroad/request/trials.py
@@ -7,6 +7,7 @@
 from lentilroad.membership.crash_evidence import LIKELY_CAUSE_CRASHES
 from lentilroad.membership.crash_messages import TrialDecision, TrialReply
 from lentilroad.membership.upstreams import UpstreamState
+from lentilroad.request.crash_detection import ABANDONED_RUN_S
 from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import Exchange
@@ -14,8 +15,9 @@
 
 # Time after which a request is sent again that could not be checked.
 UNCHECKED_RETRY_AFTER_MS = 500
-# A trial ends at the latest this long after the deadline of its request.
-LEASE_MARGIN_S = 0.5
+# A trial ends at the latest this long after the deadline of its request, when a crash
+# by an abandoned run is known.
+LEASE_MARGIN_S = 2 * ABANDONED_RUN_S
 
 
 class InstanceSelector:
--- a/tests/request/test_crashing_requests.py
+++ b/tests/request/test_crashing_requests.py
@@ -363,6 +363,19 @@
         assert fleet.crashes == 2
 
 
+# BUDGET: an entry gave up just before the instance crashed, and nobody reported it.
+async def test_crash_by_a_suspect_that_its_caller_gave_up_counts() -> None:
+    """Guard against crashes that nobody reports since nobody waits any more."""
+    async with _fleet(_crashes_on_deadly) as fleet, _entry(fleet) as entry:
+        await _send(entry.session, 0, "/non_idempotent/deadly", DEADLY)
+        await _wait_for_reports(entry, 1)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(RUN_S / 4):
+                await _send(entry.session, 1, "/non_idempotent/deadly", DEADLY)
+        await _wait_for_reports(entry, 2)
+        assert fleet.crashes == 2
+
+
 async def test_request_that_cannot_be_checked_crashes_few_instances() -> None:
     """Guard against endless resends while no coordinator is reachable."""
     async with (
