Clear a suspect only by evidence that a coordinator withdrew

Cause, from the logs: both coordinators had two crashes of it; one was killed and restarted, then the other one was lost with its disk. The restarted one knew nothing and answered that the request was cleared, so that the entries forgot it and ran it without a trial. It takes over what entries know, but only what they had last heard of before it started, and they hear of it again from the other coordinator every two seconds. The same holds for a member that becomes a coordinator by a change of the list, and for one that reports did not reach.

Change: a coordinator remembers which evidence it withdrew, and when. What an entry knows counts unless it was withdrawn since; having no evidence clears nothing. A ban still needs a crash that was reported to the coordinator itself, so that crashes which a ban explained elsewhere ban nobody.

Measured: the new test of a coordinator that missed the reports fails without the change and passes now; tests/request and tests/membership pass.

--- a/lentilroad/membership/crash_causes.py
+++ b/lentilroad/membership/crash_causes.py
@@ -10,6 +10,7 @@
 import itertools
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lentilroad.clock import Clock
@@ -45,7 +46,9 @@
 # After a ban, a request is a suspect for this long, and one further crash bans it.
 PROBATION_S = 3600.0
 MAX_BANS = 256
-# Stands for the unknown ids of instances that crashed before the coordinator started.
+# Digests for which a coordinator remembers that it withdrew evidence.
+MAX_WITHDRAWN = 4096
+# Stands for the unknown ids of instances whose crashes only entries have stated.
 ADOPTED_INSTANCE_ID = ""
 # Newest suspects that one message holds.
 MAX_SUSPECTS_SENT = 64
@@ -94,9 +97,10 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._started_s = clock.monotonic_s()
         self._evidence = CrashEvidence()
         self._bans: OrderedDict[bytes, _Ban] = OrderedDict()
+        # Monotonic time at which evidence against a digest was last withdrawn.
+        self._withdrawn_s: OrderedDict[bytes, float] = OrderedDict()
         self._trials: dict[Incarnation, _Trial] = {}
         # Monotonic time until which each entry waits for a trial.
         self._waiting: dict[str, float] = {}
@@ -122,7 +126,7 @@
             for key in run.digests():
                 # An entry that did not know of the ban explains the crash.
                 if self._banned_for_s(key, now_s) > 0.0:
-                    self._evidence.explain(key)
+                    self._withdraw(self._evidence.explain(key))
         self._ban_causes(now_s)
         suspects = self._known_suspects(now_s)
         log_event(
@@ -197,6 +201,7 @@
                 continue
             self._bans.pop(key, None)
             self._evidence.clear(key)
+            self._withdraw([key])
         self._ban_causes(now_s)
         return TrialEndReply()
 
@@ -209,11 +214,27 @@
         return SuspectList(suspects=self._known_suspects(now_s))
 
     def _adopt_crashes(self, request: TrialRequest, now_s: float) -> None:
-        """Count crashes that entries have known since before this process started."""
-        if request.known_for_s < now_s - self._started_s:
+        """Count crashes that an entry knows and that were not reported here.
+
+        That this coordinator has no evidence does not clear a request: it may have
+        started later, or become a coordinator or reachable only after the reports. Only
+        evidence that it withdrew since the entry last heard of it counts as cleared.
+        The last crash before a ban is always one that was reported here.
+        """
+        stated_s = now_s - request.known_for_s
+
+        def unless_withdrawn(key: bytes) -> bytes:
+            withdrawn_s = self._withdrawn_s.get(key, -math.inf)
+            return key if withdrawn_s < stated_s else b""
+
+        known = Fingerprint(
+            target=unless_withdrawn(request.fingerprint.target),
+            content=unless_withdrawn(request.fingerprint.content),
+        )
+        if not known.digests():
             return
-        counted = self._evidence.run_crash_count(request.fingerprint)
-        for _ in range(counted, min(request.known_crashes, BAN_AFTER_CRASHES)):
+        counted = self._evidence.run_crash_count(known)
+        for _ in range(counted, min(request.known_crashes, LIKELY_CAUSE_CRASHES)):
             self._evidence.record(
                 ADOPTED_INSTANCE_ID,
                 Crash(
@@ -221,11 +242,19 @@
                     first_report_s=now_s,
                     instances=request.instances,
                 ),
-                [request.fingerprint],
+                [known],
                 # Each of them is a crash of its own.
                 last_sent_s=math.inf,
             )
 
+    def _withdraw(self, keys: Iterable[bytes]) -> None:
+        """Remember that evidence against digests was withdrawn now."""
+        for key in keys:
+            self._withdrawn_s[key] = self._clock.monotonic_s()
+            self._withdrawn_s.move_to_end(key)
+        while len(self._withdrawn_s) > MAX_WITHDRAWN:
+            self._withdrawn_s.popitem(last=False)
+
     def _learn_bans(self, suspects: list[Suspect], now_s: float) -> None:
         for suspect in suspects:
             known = self._bans.get(suspect.key)
@@ -240,9 +269,10 @@
         self._bans.move_to_end(key)
         while len(self._bans) > MAX_BANS:
             self._bans.popitem(last=False)
-        self._evidence.explain(key)
+        self._withdraw(self._evidence.explain(key))
         # Only crashes after the ban count against the request again.
         self._evidence.clear(key)
+        self._withdraw([key])
 
     def _banned_for_s(self, key: bytes, now_s: float) -> float:
         ban = self._bans.get(key)
--- a/lentilroad/membership/crash_evidence.py
+++ b/lentilroad/membership/crash_evidence.py
@@ -119,11 +119,17 @@
         self._by_key.pop(key, None)
         self._repeated.pop(key, None)
 
-    def explain(self, key: bytes) -> None:
+    def explain(self, key: bytes) -> set[bytes]:
         """Remove all crashes of a digest as evidence against other requests.
 
         Requests that share the digest keep their evidence.
+
+        Returns
+        -------
+        set of bytes
+            Digests against which fewer crashes count now.
         """
+        relieved: set[bytes] = set()
         for crash_key, crash in self._by_key.get(key, {}).items():
             crash.explained = True
             for run in [run for run in crash.runs if key not in run.digests()]:
@@ -131,6 +137,8 @@
                 self._runs -= 1
                 for other in run.digests():
                     self._drop(other, crash_key)
+                    relieved.add(other)
+        return relieved
 
     def run_count(self) -> int:
         """Return the number of requests in all crashes."""
--- a/lentilroad/membership/crash_messages.py
+++ b/lentilroad/membership/crash_messages.py
@@ -93,7 +93,7 @@
     known_crashes : int
         Crashes that count against the request, as far as the entry knows.
     known_for_s : float
-        Seconds since a coordinator confirmed them; the coordinator may have restarted.
+        Seconds since another process last stated them.
     """
 
     fingerprint: Fingerprint
--- a/tests/membership/test_crash_causes.py
+++ b/tests/membership/test_crash_causes.py
@@ -291,6 +291,43 @@
     assert await system.is_banned(DEADLY)
 
 
+# BUDGET: a coordinator without the evidence of the other one cleared the request.
+async def test_coordinator_that_missed_the_reports_does_not_clear_a_suspect() -> None:
+    """Guard against runs without a trial when coordinators change.
+
+    The entry has just heard of the crashes from the other coordinator.
+    """
+    system = _System()
+    system.clock.now_s += 60.0
+    known = {"known_crashes": 2, "known_for_s": 0.5}
+    assert await system.trial(DEADLY, **known) is TrialDecision.WAIT
+    await system.crash(DEADLY)
+    assert await system.is_banned(DEADLY)
+
+
+async def test_crashes_that_entries_state_ban_no_request_by_themselves() -> None:
+    """Guard against the ban of a request whose crashes a ban had explained."""
+    system = _System()
+    known = {"known_crashes": 3, "known_for_s": 0.5}
+    await system.trial(INNOCENT, **known)
+    assert not await system.is_banned(INNOCENT)
+    system.clock.now_s += RECOVERY_S
+    assert await system.trial(INNOCENT, **known) is TrialDecision.GRANTED
+    await system.succeed(INNOCENT)
+    assert await system.trial(INNOCENT, **known) is TrialDecision.CLEARED
+
+
+async def test_ban_withdraws_what_entries_state_of_the_requests_beside_it() -> None:
+    """Guard against suspects that come back from entries that did not hear of a ban."""
+    system = _System()
+    await system.crash(DEADLY, INNOCENT)
+    for _ in range(2):
+        await system.crash(DEADLY)
+    assert await system.is_banned(DEADLY)
+    decision = await system.trial(INNOCENT, known_crashes=1, known_for_s=0.5)
+    assert decision is TrialDecision.CLEARED
+
+
 async def test_stale_knowledge_of_an_entry_does_not_bring_back_a_suspect() -> None:
     """Guard against a cleared request that an entry makes a suspect again."""
     system = _System()
