Name the late requests of a crash finding, and correct a page on coordinators

A finding of the soak about crashing requests gave counts only, so that earlier ones were listed as not traced; the ids lead to the log lines of each send. No behaviour of the product changes; tests/membership/test_crash_causes.py passes.

--- a/lentilroad/membership/crash_causes.py
+++ b/lentilroad/membership/crash_causes.py
@@ -2,7 +2,7 @@
 
 Two storage members coordinate all crashes; entries ask the second one while they cannot
 reach the first. A coordinator keeps nothing on disk: after a restart, entries tell it
-the bans that they know, and evidence is collected anew.
+the bans that they know, and with each suspect the crashes that count against it.
 """
 
 from __future__ import annotations
--- a/lentilroad/soak/crashes.py
+++ b/lentilroad/soak/crashes.py
@@ -59,9 +59,11 @@
             body_runs.sort(key=lambda run: run.received_s)
             late = self._late_runs(body_runs)
             if len(late) > ALLOWED_RETRIES:
+                # The logs name a request's sends and refusals by its id.
+                late_ids = ", ".join(run.request_id for run in late)
                 found.append(
                     f"{body!r} reached workers {len(late)} more times after its third "
-                    f"crash, {len(body_runs)} in all"
+                    f"crash ({late_ids}), {len(body_runs)} in all"
                 )
         return found
 
