Excuse callers of the soak that give up on an entry which is still loading

Traced: an entry listens before it has loaded its modules, which took 2 to 6 s there. Their callers left by themselves after 4.0 s, one second past the deadline that they had sent; the entry counts the deadline from when it reads a request. No connection was cut, and the rule leaves out requests whose deadline was reached.

The check was wrong in that it took a caller's own end for a cut connection.

--- a/lentilroad/soak/programs.py
+++ b/lentilroad/soak/programs.py
@@ -229,8 +229,8 @@
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
             # The entry was killed or paused, or it broke the reply off.
             findings.failed += 1
-            findings.stops.unanswered[request_id] = (
-                f"{entry.name}, {type(error).__name__} after {clock() - sent_s:.2f} s"
+            findings.stops.record_unanswered(
+                request_id, entry, error, sent_s=sent_s, now_s=clock()
             )
             return status, bytes(received), False
         if status in NOT_RUN_STATUSES:
--- a/lentilroad/soak/stops.py
+++ b/lentilroad/soak/stops.py
@@ -27,6 +27,26 @@
 
     unanswered: dict[str, str] = field(default_factory=dict)
 
+    def record_unanswered(
+        self,
+        request_id: str,
+        entry: ProgramProcess,
+        error: Exception,
+        *,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Record a request whose connection ended without a complete answer.
+
+        A caller that gives up has waited past its deadline. That counts unless the
+        request waited in the backlog of a listener whose process was still loading.
+        """
+        if isinstance(error, TimeoutError) and entry.was_loading(sent_s):
+            return
+        self.unanswered[request_id] = (
+            f"{entry.name}, {type(error).__name__} after {now_s - sent_s:.2f} s"
+        )
+
     def violations(self, log: RunLog) -> list[str]:
         """Return the requests that reached a worker and got no complete answer."""
         return [
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -75,6 +75,8 @@
         # Loop times of starts and signals; a process need not know what came before.
         self.disturbed_s: list[float] = []
         self.started_s = float("-inf")
+        # Loop time at which the process was last seen to be ready.
+        self.ready_s = float("-inf")
         self.store_link: LinkProxy | None = None
         # Held by the fault that ends or pauses the process.
         self.fault_lock = asyncio.Lock()
@@ -102,6 +104,15 @@
                 stderr=log,
             )
 
+    def was_loading(self, time_s: float) -> bool:
+        """Return whether the newest process had started, but was not ready, at a time.
+
+        An entry listens before it has loaded its modules.
+        """
+        if time_s < self.started_s:
+            return False
+        return self.ready_s < self.started_s or time_s < self.ready_s
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         self.disturbed_s.append(asyncio.get_running_loop().time())
@@ -324,6 +335,7 @@
     async with aiohttp.ClientSession() as session:
         while True:
             if await _is_ready(session, f"http://{entry.ip}:{READY_PORT}/readiness"):
+                entry.ready_s = asyncio.get_running_loop().time()
                 return
             await asyncio.sleep(READY_POLL_S)
 
