Report a disk as incomplete while its claim of a slot has no answer

Cause: the gauge related the disk to the newest list that the process knew, and after a claim without an answer that may be the list before its own. Answers to callers were right, since they name the assignment.

A process now knows in which list it claimed a slot, and counts as incomplete until it knows a newer one. If no list comes, it reads the store; if the claim has not taken effect, it writes the list again unchanged, so that the claim cannot take effect later, when the replaced member may be back. This costs one read, and at most one write, for each claim without an answer.

--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -140,6 +140,9 @@
         # Assignment that this process wrote for a disk of a new deployment, which has
         # no records to copy.
         self._founding_assignment: int | None = None
+        # Version of the list that this process last claimed a slot in. Until a newer
+        # list is known, the claim may have taken effect or may still do so.
+        self._claimed_version = -1
         self._copy_progress = _CopyProgress(assignment=0)
         self._copier = RecordCopier(call=call, replica=replica)
         self._unresponsive_since_s: dict[str, float] = {}
@@ -198,9 +201,17 @@
             await self._clock.sleep(JOIN_RETRY_INTERVAL_S * 2.0 * self._random_share())
 
     def is_complete(self) -> bool:
-        """Return whether the disk has copied the records of its newest assignment."""
+        """Return whether the disk has copied the records of its newest assignment.
+
+        While the outcome of a claim is unknown, the newest assignment is unknown too.
+        """
         present = self._own_member()
-        return present is not None and self._replica.has_copied(present.assignment)
+        if present is None or self._has_unsettled_claim():
+            return False
+        return self._replica.has_copied(present.assignment)
+
+    def _has_unsettled_claim(self) -> bool:
+        return self._current_map.version <= self._claimed_version
 
     def _own_member(self) -> Member | None:
         return self._current_map.member_list.find(self._replica.disk_id)
@@ -277,6 +288,8 @@
     async def _maintain_membership(self) -> None:
         if self.retiring:
             return
+        if self._has_unsettled_claim():
+            await self._settle_claim()
         present = self._own_member()
         if present is None:
             # Another instance replaced this member while it was unresponsive.
@@ -447,6 +460,7 @@
             assignment=current_map.version + 1,
             replaced_disk_id=replaced[0].disk_id if replaced else "",
         )
+        self._claimed_version = current_map.version
         await self._write_member(new_member, member_list, current_map.version)
         log_event(
             "storage_place_taken",
@@ -456,6 +470,21 @@
             version=self._current_map.version,
         )
 
+    async def _settle_claim(self) -> None:
+        """Find out whether a claim without an answer took effect.
+
+        If it has not, the list is written again unchanged, so that the claim cannot
+        take effect later.
+        """
+        stored_map = await self._map_store.read()
+        self.update_map(stored_map)
+        if not self._has_unsettled_claim():
+            return
+        member_list = stored_map.member_list
+        new_version = await self._map_store.write(member_list, stored_map.version)
+        self.update_map(MemberMap(version=new_version, member_list=member_list))
+        log_event("storage_claim_withdrawn", version=new_version)
+
     def _other_members(self) -> list[Member]:
         return [
             member
--- a/tests/conversation/test_assignments.py
+++ b/tests/conversation/test_assignments.py
@@ -16,6 +16,7 @@
 from lentilroad.conversation.messages import PROBE, ReadChain, Reserve
 from lentilroad.errors import BudgetExhaustedError, NotFoundError
 from lentilroad.standins.virtual_loop import run_virtual
+from tests.fakes import storage_cluster
 from tests.fakes.storage_cluster import (
     StorageCluster,
     StorageNode,
@@ -57,13 +58,18 @@
         await manager.acquire(program_id, 100, 100)
 
 
+async def _check_turns(client: StorageClient, turn_ids: list[str] = TURNS) -> None:
+    for turn_id in turn_ids:
+        found = await client.read_chain(turn_id, key=turn_id)
+        assert found[0].turn_id == turn_id
+
+
 async def _check_turns_and_budgets(
     cluster: StorageCluster, client: StorageClient, turn_ids: list[str] = TURNS
 ) -> None:
     manager = _grant_manager(cluster, client)
+    await _check_turns(client, turn_ids)
     for turn_id in turn_ids:
-        found = await client.read_chain(turn_id, key=turn_id)
-        assert found[0].turn_id == turn_id
         with pytest.raises(BudgetExhaustedError):
             await manager.acquire(turn_id, 100, 100)
 
@@ -192,6 +198,63 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("outcome", LOST_OUTCOMES)
+def test_disk_is_not_reported_complete_while_its_claim_has_no_answer(
+    outcome: WriteOutcome,
+) -> None:
+    """Guard against a further disk taken away before the new one has copied (LOST)."""
+
+    async def run() -> None:
+        cluster, client = await _start_cluster()
+        spare = await _add_spare(cluster)
+        await _store_turns(client)
+        store = cluster.member_store
+        store.write_outcome = _once(spare, outcome)
+        store.watchers.remove(spare.membership.update_map)
+        cluster.nodes["store-0"].wipe()
+        await _wait_for_slot(cluster, spare)
+        assert not spare.membership.is_complete()
+        while not spare.membership.is_complete():
+            await cluster.clock.sleep(0.0005)
+        assert spare.replica.has_copied(spare.assignment())
+        cluster.nodes["store-1"].wipe()
+        await _check_turns(cluster.client("thies", "entry-2"))
+
+    run_virtual(run())
+
+
+def test_claim_without_an_answer_does_not_take_effect_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a claim that replaces a member long after it is back."""
+    monkeypatch.setattr(storage_cluster, "LATE_WRITE_S", 2.0)
+
+    async def run() -> None:
+        cluster, _ = await _start_cluster()
+        spare = await _add_spare(cluster)
+        returning = cluster.nodes["store-0"]
+        claimed = asyncio.Event()
+        late_once = _once(spare, WriteOutcome.LATE)
+
+        def outcome_of(member_list: MemberList) -> object:
+            outcome = late_once(member_list)
+            if outcome is WriteOutcome.LATE:
+                claimed.set()
+            return outcome
+
+        cluster.member_store.write_outcome = outcome_of
+        returning.kill()
+        await claimed.wait()
+        returning.start()
+        await cluster.clock.sleep(2 * CATCH_UP_S)
+        member_list = cluster.member_store.member_map.member_list
+        member = member_list.find(returning.replica.disk_id)
+        assert member is not None and member.slot is not None
+        assert spare.membership.is_complete()
+
+    run_virtual(run())
+
+
 def test_disk_in_another_slot_is_incomplete_until_it_has_copied() -> None:
     """Guard against grants of an old slot that count for a new one (BUDGET)."""
 
