Finish the writes of turns before the last copy of a retirement

Cause: the last copy took what was stored, not what had been accepted. A retirement now waits for the writes that were accepted before new ones are refused. It takes as long as a sync does, and nothing else waits for it.

Evidence: the new test stalls the retiring disk while a turn is under way; one copy is left without the change, and two with it.

--- a/lentilroad/conversation/joining.py
+++ b/lentilroad/conversation/joining.py
@@ -181,8 +181,8 @@
         self.retiring = True
         await self._retry_until_done(self._copy_to_other_members)
         await self._retry_until_done(self._leave_member_list)
-        self._replica.retire()
-        # Copy the records that were written here after the first copy.
+        await self._replica.retire()
+        # Copies the records that were written here after the first copy.
         await self._retry_until_done(self._copy_to_other_members)
         log_event("storage_retired", disk=self._replica.disk_id)
 
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -156,6 +156,8 @@
         self._used_share = 0.0
         self._turns: dict[str, _StoredTurn] = {}
         self._ledgers: dict[str, _StoredLedger] = {}
+        # Writes of turns that have been accepted and are not synced yet.
+        self._turn_writes: set[asyncio.Future[None]] = set()
 
     def recover(self) -> None:
         """Restore the turns and grants from the journal."""
@@ -201,9 +203,14 @@
             await self._append_state(assignment)
             self.copied_assignment = assignment
 
-    def retire(self) -> None:
-        """Refuse new turns and reservations: the disk is about to be removed."""
+    async def retire(self) -> None:
+        """Refuse new turns and reservations: the disk is about to be removed.
+
+        Returns after the turns that were accepted before are stored.
+        """
         self._retiring = True
+        if self._turn_writes:
+            await asyncio.wait(set(self._turn_writes))
 
     async def require_map_version(self, version: int) -> None:
         """Refuse reservations of callers whose member list is older than `version`."""
@@ -244,6 +251,16 @@
                 f"disk {self.disk_id} is {self._used_share:.0%} full; write to the "
                 "other storage members"
             )
+        write: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._turn_writes.add(write)
+        try:
+            await self._write_turns(request)
+        finally:
+            self._turn_writes.discard(write)
+            write.set_result(None)
+        return StoreReply(disk_id=self.disk_id)
+
+    async def _write_turns(self, request: PutTurns) -> None:
         now_s = self._clock.time_s()
         for record in request.turns:
             record.written_s = record.written_s or now_s
@@ -264,7 +281,6 @@
                 segment=segment,
                 copied_assignment=self.copied_assignment,
             )
-        return StoreReply(disk_id=self.disk_id)
 
     async def read_chain(self, request: ReadChain) -> Chain:
         """Return a turn and its predecessors up to the first that is not stored."""
--- a/tests/conversation/test_losses.py
+++ b/tests/conversation/test_losses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from lentilroad.conversation.allowance import GrantManager
@@ -172,6 +174,32 @@
     run_virtual(run())
 
 
+def test_turn_that_is_synced_late_in_a_retirement_is_copied() -> None:
+    """Guard against a copy that goes with a retired disk although it was counted.
+
+    The disk accepts the turn before it refuses new ones, and syncs it after the last
+    copy of its records (LOST).
+    """
+
+    async def run() -> None:
+        cluster = await _start_cluster()
+        client = cluster.client("dakar")
+        retired = cluster.nodes["store-0"]
+        cluster.cut_links.add(("entry", "store-2"))
+        retired.journal.stalled = True
+        storing = asyncio.create_task(client.put_turn(turn("a"), key="p"))
+        await cluster.clock.sleep(0.01)
+        retiring = asyncio.create_task(retired.membership.retire())
+        await cluster.clock.sleep(0.5)
+        retired.journal.stalled = False
+        await storing
+        await retiring
+        retired.wipe()
+        assert all(cluster.nodes[f"store-{n}"].stores("a") for n in (1, 2))
+
+    run_virtual(run())
+
+
 def test_retired_instance_stores_no_turns() -> None:
     """Guard against a copy on a disk that is about to be removed."""
 
