Start no machine of the soak again that has left for good

A fault of the soak that had chosen a storage machine waited for the machine's lock while another series removed it for good, and then started it again with an empty disk. The machine joined, the list never matched the soak's machines again, and no further disk was emptied or machine replaced in that run: the soak checked less than it seemed to.

--- a/lentilroad/soak/main.py
+++ b/lentilroad/soak/main.py
@@ -333,6 +333,9 @@
     process: ProgramProcess, number: signal.Signals, pause_s: float
 ) -> None:
     async with process.fault_lock:
+        # It may have left for good while another fault held the lock.
+        if process.removed:
+            return
         await process.end(number)
         await asyncio.sleep(pause_s)
         await process.start()
--- a/lentilroad/soak/members.py
+++ b/lentilroad/soak/members.py
@@ -47,6 +47,7 @@
                     signal.SIGTERM if kind == "replaced" else signal.SIGKILL
                 )
                 leaving.wipe()
+                leaving.removed = True
                 world.storages.remove(leaving)
                 world.removed.append(leaving)
             await asyncio.sleep(SETTLING_S)
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -80,6 +80,8 @@
         self.store_link: LinkProxy | None = None
         # Held by the fault that ends or pauses the process.
         self.fault_lock = asyncio.Lock()
+        # Whether the machine has left the deployment for good.
+        self.removed = False
         self._folder = folder / self.name
         self._store_address = store_address
         self._first_start = not added_in
