--- a/tests/fakes/storage_cluster.py
+++ b/tests/fakes/storage_cluster.py
@@ -205,6 +205,8 @@
         self.journal: MemoryJournal
         self._member_map = MemberMap(version=0, member_list=MemberList())
         self._tasks: list[asyncio.Task[None]] = []
+        self._resumed = asyncio.Event()
+        self._resumed.set()
         self.new_disk()
 
     def new_disk(self) -> None:
@@ -294,6 +296,22 @@
         if self.membership.update_map in self.cluster.member_store.watchers:
             self.cluster.member_store.watchers.remove(self.membership.update_map)
 
+    def pause(self) -> None:
+        """Hold back all calls from and to the process."""
+        self._resumed.clear()
+
+    def resume(self) -> None:
+        """Let the held back calls go on."""
+        self._resumed.set()
+
+    def is_paused(self) -> bool:
+        """Return whether the process is paused."""
+        return not self._resumed.is_set()
+
+    async def wait_resumed(self) -> None:
+        """Wait while the process is paused."""
+        await self._resumed.wait()
+
     def wipe(self) -> None:
         """Kill the process and replace its disk with an empty disk."""
         self.kill()
@@ -329,6 +347,8 @@
     ----------
     cut_links : set of tuple of str
         Pairs of a caller's name and a member's address that cannot communicate.
+    link_delays_s : dict of tuple of str to float
+        Additional delay of calls between such pairs.
     """
 
     def __init__(self, *, regions: list[str], losses_tolerated: int = 1) -> None:
@@ -336,6 +356,7 @@
         self.losses_tolerated = losses_tolerated
         self.member_store = MemoryMemberStore()
         self.cut_links: set[tuple[str, str]] = set()
+        self.link_delays_s: dict[tuple[str, str], float] = {}
         self.nodes: dict[str, StorageNode] = {}
         for index, region in enumerate(regions):
             self.add(f"store-{index}", region)
@@ -351,6 +372,13 @@
             node.start(first_start=True)
         await self.clock.sleep(5.0)
 
+    def heal(self) -> None:
+        """Resume all processes and end the faults of all links."""
+        self.cut_links.clear()
+        self.link_delays_s.clear()
+        for node in self.nodes.values():
+            node.resume()
+
     def client(self, region: str, name: str = "entry") -> StorageClient:
         """Return the client of an entry in a region; it watches the member list."""
         client = StorageClient(
@@ -369,6 +397,7 @@
         async def call(address: str, method: Any, request: Any, timeout_s: float):
             async with asyncio.timeout(timeout_s):
                 node = await self._reach(region, name, address)
+                replica = node.replica
                 handlers = {
                     PUT_TURNS: node.replica.put_turns,
                     READ_CHAIN: node.replica.read_chain,
@@ -380,6 +409,10 @@
                     ANNOUNCE: node.entries.announce,
                 }
                 reply = await handlers[method](request)
+                await node.wait_resumed()
+                if node.replica is not replica:
+                    # The process that ran the call was ended; nobody replies.
+                    await asyncio.Event().wait()
                 await self._reach(region, name, address)
                 return reply
 
@@ -394,17 +427,25 @@
             assert method is PULL
             async with asyncio.timeout(timeout_s):
                 node = await self._reach(region, name, address)
-                async for batch in node.replica.pull(request):
+                replica = node.replica
+                async for batch in replica.pull(request):
+                    await node.wait_resumed()
+                    if node.replica is not replica:
+                        await asyncio.Event().wait()
                     yield batch
 
         return stream
 
     async def _reach(self, region: str, name: str, address: str) -> StorageNode:
+        if name in self.nodes:
+            await self.nodes[name].wait_resumed()
         node = self.nodes[address]
         same_region = node.region == region
         await self.clock.sleep(
             IN_REGION_LATENCY_S if same_region else CROSS_REGION_LATENCY_S
         )
+        await self.clock.sleep(self.link_delays_s.get((name, address), 0.0))
+        await node.wait_resumed()
         if not node.running or (name, address) in self.cut_links:
             # No reply is sent; the call ends at its timeout.
             await asyncio.Event().wait()
