--- a/tests/fakes/storage_changes.py
+++ b/tests/fakes/storage_changes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from lentilroad.conversation.client import StorageClient
@@ -220,7 +220,15 @@
         ]
         return self._random.choice(nodes) if nodes else None
 
-    async def _pause_members(self) -> None:
+    async def _disturb_members(
+        self,
+        begin: Callable[[StorageNode], None],
+        end: Callable[[StorageNode], None],
+        *,
+        shortest_s: float,
+        longest_s: float,
+    ) -> None:
+        """Disturb one member after the other for a random time each."""
         clock = self._cluster.clock
         while True:
             await clock.sleep(self._random.uniform(0.3, 3.0))
@@ -228,23 +236,20 @@
             if node is None:
                 continue
             self._disturbed.add(node.name)
-            node.pause()
-            await clock.sleep(self._random.uniform(0.2, 2.5))
-            node.resume()
+            begin(node)
+            await clock.sleep(self._random.uniform(shortest_s, longest_s))
+            end(node)
             self._disturbed.discard(node.name)
 
+    async def _pause_members(self) -> None:
+        await self._disturb_members(
+            StorageNode.pause, StorageNode.resume, shortest_s=0.2, longest_s=2.5
+        )
+
     async def _restart_members(self) -> None:
-        clock = self._cluster.clock
-        while True:
-            await clock.sleep(self._random.uniform(0.3, 3.0))
-            node = self._choose_undisturbed()
-            if node is None:
-                continue
-            self._disturbed.add(node.name)
-            node.kill()
-            await clock.sleep(self._random.uniform(0.3, 2.0))
-            node.start()
-            self._disturbed.discard(node.name)
+        await self._disturb_members(
+            StorageNode.kill, StorageNode.start, shortest_s=0.3, longest_s=2.0
+        )
 
     async def _harm_links(self) -> None:
         cluster = self._cluster
