--- a/lentilroad/platform/configuration.py
+++ b/lentilroad/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lentilroad.errors import ConfigurationError
+from lentilroad.version.customers import Customer, CustomerTable
 from lentilroad.version.routes import (
     ClientLimits,
     EngineLimits,
@@ -51,6 +52,15 @@
     allow_resume: bool = False
     # A longer pause between two events of a stream counts as late.
     gap_aim_ms: _Milliseconds = 0.0
+    allow_anonymous: bool = False
+
+
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: list[str] = []
+    priority: _Rank | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
@@ -78,6 +88,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 def decode_configuration(content: bytes) -> RouteTable:
@@ -109,6 +120,26 @@
             header_timeout_s=configuration.limits.header_timeout_ms / 1000,
             idle_timeout_s=configuration.limits.idle_timeout_ms / 1000,
         ),
+        customers=_customers(configuration.tenants),
+    )
+
+
+def _customers(tenants: list[_Tenant] | None) -> CustomerTable | None:
+    if not tenants:
+        return None
+    return CustomerTable(
+        customers=[
+            (
+                Customer(
+                    name=tenant.name,
+                    priority=tenant.priority,
+                    rate_per_s=tenant.rate_per_s,
+                    burst=tenant.burst,
+                ),
+                tenant.api_keys,
+            )
+            for tenant in tenants
+        ]
     )
 
 
@@ -133,6 +164,7 @@
         retention_s=route.retention_s,
         resumable=route.allow_resume,
         target_event_gap_s=route.gap_aim_ms / 1000,
+        open_to_all=route.allow_anonymous,
     )
 
 
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lentilroad.connection.http_exchange import Header, ResponseHead
+from lentilroad.version.customers import Customer
 
 
 @dataclass(slots=True, kw_only=True)
@@ -20,6 +21,8 @@
         Headers that are forwarded to the upstream.
     credential : str
         Credential by which the platform tells customers apart; empty for none.
+    customer : Customer or None
+        Customer that holds the credential's key; None if requests need no key.
     deadline_s : float or None
         Seconds until the caller gives up; None if not stated.
     finish_s : float or None
@@ -41,6 +44,7 @@
     forwarded_headers: list[Header]
     body: bytes = b""
     credential: str = ""
+    customer: Customer | None = None
     deadline_s: float | None = None
     program_id: str = ""
     session_id: str = ""
--- a/lentilroad/request/work.py
+++ b/lentilroad/request/work.py
@@ -23,6 +23,10 @@
         Instance that served the previous turn of the conversation; empty for none.
     affinity_key : str
         Key whose requests are sent to the same instance; empty for none.
+    under_way : bool
+        Whether the request belongs to a program that has already run a request.
+    customer : str
+        Name of the customer; empty if requests need no key.
     excluded : set of str
         Ids of instances that refused or failed this request.
     """
@@ -34,4 +38,6 @@
     history_tokens: int = 0
     preferred_instance_id: str = ""
     affinity_key: str = ""
+    under_way: bool = False
+    customer: str = ""
     excluded: set[str] = field(default_factory=set)
--- a/lentilroad/version/routes.py
+++ b/lentilroad/version/routes.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass
 
+from lentilroad.version.customers import CustomerTable
+
 # Callers abandon a stream after the longest of: this gap between events, this multiple
 # of the latency target, this multiple of the target gap between events.
 ABANDON_AFTER_S = 2.0
@@ -40,6 +42,8 @@
         Whether a stream may resume at another instance after its last event.
     target_event_gap_s : float
         Target for the longest gap between events; 0 if none is configured.
+    open_to_all : bool
+        Whether requests need no key although the configuration has customers.
     """
 
     name: str
@@ -56,6 +60,7 @@
     retention_s: float = 0.0
     resumable: bool = False
     target_event_gap_s: float = 0.0
+    open_to_all: bool = False
 
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
@@ -114,9 +119,11 @@
         Services by name.
     limits : ClientLimits
         Limits of client connections.
+    customers : CustomerTable, optional
+        Customers and their keys; None if requests need no key.
     """
 
-    __slots__ = ("_by_host", "limits", "services", "version")
+    __slots__ = ("_by_host", "customers", "limits", "services", "version")
 
     def __init__(
         self,
@@ -125,8 +132,10 @@
         routes: list[Route],
         services: dict[str, Service],
         limits: ClientLimits,
+        customers: CustomerTable | None = None,
     ) -> None:
         self.version = version
+        self.customers = customers
         self.services = services
         self.limits = limits
         self._by_host: dict[str, dict[str, Route]] = {}
