Learn the speed of instances from their streams

Engines of one service differ in speed and slow down at different loads, but the cost of an idle instance was the same for all. Entries now compare the time to the first event and between events with the service's mean and add the difference to the cost of an instance.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -8,6 +8,11 @@
 from lentilroad.clock import Clock
 from lentilroad.connection.http_pool import HttpPool
 from lentilroad.membership.statements import Permits, RateLimit
+from lentilroad.membership.stream_times import (
+    ServiceTimes,
+    StreamObserver,
+    StreamTimes,
+)
 from lentilroad.process.events import log_event
 
 # Keys of live instances that expire while the store is unreachable are written again
@@ -103,6 +108,10 @@
     earlier_statement_s : float or None
         Monotonic time of a statement that it is leaving which may be this incarnation's
         although it arrived before its registration.
+    stream_times : StreamTimes
+        Times that its streams took.
+    service_times : ServiceTimes or None
+        Times of all instances of the service; None if they are not to be learned.
     """
 
     instance: UpstreamInstance
@@ -129,6 +138,8 @@
     last_answer_s: float = float("-inf")
     # Monotonic times at which prompt parts were last sent to the instance, by part.
     recent_parts: dict[str, float] = field(default_factory=dict)
+    stream_times: StreamTimes = field(default_factory=StreamTimes)
+    service_times: ServiceTimes | None = None
     # Called after a change that affects the selection of an instance.
     on_change: Callable[[UpstreamState], None] = lambda state: None
 
@@ -247,6 +258,28 @@
             return rate_per_s
         return min(rate_per_s, self.share_per_s)
 
+    def observe_stream(self, sent_s: float, clock: Clock) -> StreamObserver | None:
+        """Return an observer of a stream that was requested at a monotonic time."""
+        if self.service_times is None:
+            return None
+        return StreamObserver(
+            instance_id=self.instance.instance_id,
+            service_times=self.service_times,
+            times=self.stream_times,
+            sent_s=sent_s,
+            clock=clock,
+        )
+
+    def is_slow(self) -> bool:
+        """Return whether the instance's streams take longer than those of others."""
+        return self.learned_cost_s() > 0.0 and self.stream_times.streams > 0
+
+    def learned_cost_s(self) -> float:
+        """Return the cost of the instance by the times of its streams."""
+        if self.service_times is None:
+            return 0.0
+        return self.service_times.cost_s(self.stream_times, self.in_flight)
+
     def record_outcome(self, *, failed: bool) -> None:
         """Record whether a request failed."""
         if not failed:
@@ -280,6 +313,8 @@
         Source of time.
     drain_s : float
         Time for which an instance that is leaving still accepts requests.
+    learn_speeds : bool
+        Whether to learn how fast the streams of each instance are.
     """
 
     __slots__ = (
@@ -290,12 +325,18 @@
         "_drain_s",
         "_expiry_grace_until_s",
         "_former",
+        "_learn_speeds",
+        "_service_times",
         "loaded",
     )
 
-    def __init__(self, *, clock: Clock, drain_s: float = 0.0) -> None:
+    def __init__(
+        self, *, clock: Clock, drain_s: float = 0.0, learn_speeds: bool = False
+    ) -> None:
         self._clock = clock
         self._drain_s = drain_s
+        self._learn_speeds = learn_speeds
+        self._service_times: dict[str, ServiceTimes] = {}
         # Last states of removed instances that may come back, by incarnation.
         self._former: dict[tuple[str, str, int], UpstreamState] = {}
         self._by_id: dict[str, UpstreamState] = {}
@@ -375,6 +416,7 @@
                 pool=HttpPool(address=instance.address, clock=self._clock),
                 on_change=self._on_change,
                 drain_s=self._drain_s,
+                service_times=self._times_of(instance.service),
             )
             if replaced is not None:
                 state.earlier_statement_s = self._recent_statement_s(replaced)
@@ -383,6 +425,7 @@
                 # What the instance stated still holds.
                 state.rate_limit = former.rate_limit
                 state.leaving_since_s = former.leaving_since_s
+                state.stream_times = former.stream_times
             self._by_id[instance.instance_id] = state
             self._by_service.setdefault(instance.service, {})[instance.instance_id] = (
                 state
@@ -426,6 +469,10 @@
         """Return how many instances have a rate limit in force."""
         return sum(1 for s in self._by_id.values() if s.limit_per_s() is not None)
 
+    def slow_count(self) -> int:
+        """Return how many instances have streams that take longer than others'."""
+        return sum(1 for s in self._by_id.values() if s.is_slow())
+
     def leaving_count(self) -> int:
         """Return how many instances stated that they are leaving."""
         return sum(1 for s in self._by_id.values() if s.leaving_since_s is not None)
@@ -449,6 +496,11 @@
             return [state]
         return [state, current]
 
+    def _times_of(self, service: str) -> ServiceTimes | None:
+        if not self._learn_speeds:
+            return None
+        return self._service_times.setdefault(service, ServiceTimes(clock=self._clock))
+
     def _recent_statement_s(self, replaced: UpstreamState) -> float | None:
         """Return when an instance stated that it leaves, if its successor may have."""
         stated_at_s = replaced.leaving_since_s
--- a/lentilroad/platform/__main__.py
+++ b/lentilroad/platform/__main__.py
@@ -1,7 +1,8 @@
 """Run lentilroad on the platform's machines.
 
 Usage:
-  lentilroad-platform (entry | storage) [--settings FILE]
+  lentilroad-platform entry [--learn-speeds] [--settings FILE]
+  lentilroad-platform storage [--settings FILE]
   lentilroad-platform check [--settings FILE]
 
 Commands:
@@ -10,6 +11,8 @@
   check    Check the settings file and exit.
 
 Options:
+  --learn-speeds   Send less work to instances whose streams take longer than
+                   those of the others.
   --settings FILE  Settings in the platform's format (TOML); the variable
                    LENTILROAD_BOOT names it when omitted.
 
@@ -49,10 +52,12 @@
         return 2
     if options["check"]:
         return 0
-    return _run_entry(settings) if options["entry"] else _run_storage(settings)
+    if options["storage"]:
+        return _run_storage(settings)
+    return _run_entry(settings, learn_speeds=options["--learn-speeds"])
 
 
-def _run_entry(settings: ProcessSettings) -> int:
+def _run_entry(settings: ProcessSettings, *, learn_speeds: bool) -> int:
     # Listen first: callers that connect while the modules load wait in the backlog
     # instead of being refused.
     listener = _listen(settings.client_address)
@@ -63,7 +68,7 @@
     from lentilroad.process.events import start_event_log
 
     start_event_log(role="entry")
-    uvloop.run(run_entry(settings, listener))
+    uvloop.run(run_entry(settings, listener, learn_speeds=learn_speeds))
     return 0
 
 
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -58,14 +58,24 @@
 STARTUP_POLL_INTERVAL_S = 0.02
 
 
-async def run_entry(settings: ProcessSettings, listener: socket.socket) -> None:
-    """Serve callers that connect to `listener` until SIGTERM."""
+async def run_entry(
+    settings: ProcessSettings, listener: socket.socket, *, learn_speeds: bool = False
+) -> None:
+    """Serve callers that connect to `listener` until SIGTERM.
+
+    Parameters
+    ----------
+    learn_speeds : bool
+        Whether to send less work to instances whose streams take longer.
+    """
     clock = SystemClock()
     telemetry = Telemetry()
     state = GatewayState()
     peers = PeerConnections(clock=clock)
     metadata = MetadataClient(address=settings.metadata_address, clock=clock)
-    directory = UpstreamDirectory(clock=clock, drain_s=settings.bounds.drain_s)
+    directory = UpstreamDirectory(
+        clock=clock, drain_s=settings.bounds.drain_s, learn_speeds=learn_speeds
+    )
     own_address = f"{settings.ip}:{settings.peer_port}"
     relayed_calls = RelayingCaller(
         call=peers.call,
@@ -146,6 +156,7 @@
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
+    telemetry.add_gauge("slow_upstreams", directory.slow_count)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
@@ -220,6 +231,7 @@
     directory: UpstreamDirectory, dispatcher: Dispatcher
 ) -> None:
     directory.sweep()
+    dispatcher.refresh_learned_costs()
     dispatcher.dispatch_waiting()
 
 
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -232,6 +232,11 @@
                     self._grant(service, key, waiter, chosen)
             self._refuse_late_waiters(service, name)
 
+    def refresh_learned_costs(self) -> None:
+        """Apply the fading of what was learned about instances."""
+        for service in self._services.values():
+            service.index.refresh_learned_costs()
+
     def _dispatch_at(self, time_s: float) -> None:
         delay_s = time_s - self._clock.monotonic_s() + TIMER_MARGIN_S
         asyncio.get_running_loop().call_later(delay_s, self.dispatch_waiting)
--- a/lentilroad/request/instance_index.py
+++ b/lentilroad/request/instance_index.py
@@ -21,6 +21,8 @@
 # Instances of a zone that one choice may skip because they are unresponsive, suspected
 # of failing, or excluded for the request.
 MAX_SKIPPED_PER_ZONE = 16
+# Instances of a service that one call re-indexes after their learned costs faded.
+MAX_REFRESHED = 64
 
 # Cost in seconds, tie breaker, instance id.
 _Position = tuple[float, float, str]
@@ -58,6 +60,7 @@
         "_pauses",
         "_positions",
         "_random_share",
+        "_refresh_queue",
         "_states",
         "_tie_breakers",
         "zones",
@@ -75,6 +78,8 @@
         self._exclusions: list[tuple[float, str]] = []
         # Times at which permits are expected, by the id of each paused instance.
         self._pauses: dict[str, float] = {}
+        # Usable instances whose costs are still to be refreshed in this round.
+        self._refresh_queue: list[str] = []
         self.zones: dict[str, _Zone] = {}
 
     def update(self, state: UpstreamState) -> None:
@@ -119,6 +124,15 @@
             if instance_id not in self._positions or state.draining(now_s):
                 self.update(state)
 
+    def refresh_learned_costs(self) -> None:
+        """Re-index some of the instances, since learned costs fade with time."""
+        if not self._refresh_queue:
+            self._refresh_queue = list(self._positions)
+        for _ in range(min(MAX_REFRESHED, len(self._refresh_queue))):
+            state = self.find(self._refresh_queue.pop())
+            if state is not None and state.service_times is not None:
+                self.update(state)
+
     def find(self, instance_id: str) -> UpstreamState | None:
         """Return an instance, or None if it is not usable now."""
         if instance_id not in self._positions:
@@ -241,6 +255,7 @@
     load = state.in_flight / max(1, state.instance.slots)
     response_s = state.mean_response_s or DEFAULT_RESPONSE_S
     cost_s = response_s * load * load + FAILURE_COST_S * state.failure_share
+    cost_s += state.learned_cost_s()
     return cost_s + (LEAVING_COST_S if state.leaving_since_s is not None else 0.0)
 
 
--- a/lentilroad/request/streaming.py
+++ b/lentilroad/request/streaming.py
@@ -15,6 +15,7 @@
 )
 from lentilroad.conversation.turns import Turn
 from lentilroad.errors import UpstreamError
+from lentilroad.membership.stream_times import StreamObserver
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.const import (
     ABANDON_MARGIN_S,
@@ -103,9 +104,13 @@
         reader = self._turn.events
         reader.begin_next_run()
         self._last_progress_s = self._clock.monotonic_s()
+        observer = self._observer()
         while chunk := await self._next_chunk(connection, can_fail_over):
             event_count = reader.event_count
-            await self._forward(reader.feed(chunk))
+            complete = reader.feed(chunk)
+            if reader.event_count > event_count and observer is not None:
+                observer.record_events(reader.event_count - event_count)
+            await self._forward(complete)
             if reader.event_count > event_count:
                 self._last_progress_s = self._clock.monotonic_s()
         partial = reader.pop_partial_event()
@@ -115,12 +120,22 @@
             )
         await self._forward(partial)
         await self._start_response()
+        if observer is not None:
+            observer.record_end()
         # The instance has finished; only the caller waits for the turn to be stored.
         self._release(self._exchange)
         await self._turn.store(self._exchange.instance_id)
         await self._response.write_eof()
         return self._response
 
+    def _observer(self) -> StreamObserver | None:
+        """Return the observer of the current run's times, if they are learned."""
+        state = self._exchange.acquired_instance
+        sent_s = self._exchange.sent_s
+        if state is None or sent_s is None:
+            return None
+        return state.observe_stream(sent_s, self._clock)
+
     async def _next_chunk(
         self, connection: HttpConnection, can_fail_over: bool
     ) -> bytes:
