Authenticate customers by their keys and keep their state apart

With Tenants in the configuration, clients' keys were forwarded to instances, unknown keys were served, and no instance learned the customer. A request now needs a key in force unless its route is open to all (401 otherwise); the key is not forwarded, and the customer's name is. Turns, token budgets, affinity keys and bans belong to a customer, whose priority replaces the route's. A faulty entry costs only itself, and an empty list means that no key is valid.

Deployments without customers keep their bytes, except that a client's own Lentilroad-Tenant is no longer forwarded.

--- a/lentilroad/conversation/allowance.py
+++ b/lentilroad/conversation/allowance.py
@@ -17,6 +17,7 @@
 from lentilroad.conversation.messages import Grant
 from lentilroad.errors import BudgetExhaustedError, LentilroadError
 from lentilroad.process.events import log_event
+from lentilroad.version.customers import unscoped_id
 
 Reserve = Callable[[str, Grant | None], Awaitable[tuple[list[Grant], bool]]]
 Confirm = Callable[[str, Grant], Awaitable[None]]
@@ -190,7 +191,7 @@
             )
             log_event(
                 "budget_short",
-                program=program_id,
+                program=unscoped_id(program_id),
                 budget_tokens=budget_tokens,
                 others_tokens=others_tokens,
                 others_needed_tokens=others_needed_tokens,
--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -55,6 +55,7 @@
 from lentilroad.membership.crash_causes import CRASH_COORDINATORS
 from lentilroad.membership.rendezvous import score
 from lentilroad.process.events import log_event
+from lentilroad.version.customers import unscoped_id
 
 Call = Callable[..., Awaitable[Any]]
 
@@ -226,12 +227,12 @@
                 ):
                     raise UnavailableError(
                         f"{len(stored)} of {copy_count} storage members stored turn "
-                        f"{record.turn_id}; send the turn again",
+                        f"{unscoped_id(record.turn_id)}; send the turn again",
                         outcome="unknown",
                     )
         log_event(
             "turn_recorded",
-            request=record.turn_id,
+            request=unscoped_id(record.turn_id),
             disks=sorted(stored),
             map_version=self._member_map.version,
         )
@@ -457,7 +458,9 @@
         # While the copies of a lost disk are being restored, any member may store the
         # only copy of the turn, so every member has to reply that it has no copy.
         if candidates and len(disks_without_turn) == len(candidates):
-            raise NotFoundError(f"turn {turn_id} does not exist; start a new chain")
+            raise NotFoundError(
+                f"turn {unscoped_id(turn_id)} does not exist; start a new chain"
+            )
         await self._refreshed_map()
         if (
             self._member_map.version > map_version
@@ -465,9 +468,9 @@
         ):
             return await self._find_turn(turn_id, key, deadline_s)
         raise UnavailableError(
-            f"turn {turn_id} was not found, but only {len(disks_without_turn)} of "
-            f"{len(candidates)} storage members confirmed its absence; send the turn "
-            "again",
+            f"turn {unscoped_id(turn_id)} was not found, but only "
+            f"{len(disks_without_turn)} of {len(candidates)} storage members confirmed "
+            "its absence; send the turn again",
             retry_after_ms=RETRY_AFTER_MS,
         )
 
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -47,6 +47,7 @@
     WhichTurns,
 )
 from lentilroad.process.events import log_event
+from lentilroad.version.customers import unscoped_id
 from lentilroad.wire.untrusted import UnreadableError, decode_message_pack
 
 
@@ -276,8 +277,8 @@
         for record, segment in zip(request.turns, segments, strict=True):
             log_event(
                 "turn_stored",
-                request=record.turn_id,
-                previous=record.previous_id,
+                request=unscoped_id(record.turn_id),
+                previous=unscoped_id(record.previous_id),
                 segment=segment,
                 copied_assignment=self.copied_assignment,
             )
--- a/lentilroad/conversation/turns.py
+++ b/lentilroad/conversation/turns.py
@@ -152,12 +152,13 @@
             return
         inbound = self._inbound
         history = self._history
-        conversation_id = history.conversation_id or inbound.request_id
+        turn_id = inbound.scoped(inbound.request_id)
+        conversation_id = history.conversation_id or turn_id
         output = bytes(self.events.output)
         kept_until_s = self._clock.time_s() + self._retention_s
         record = TurnRecord(
-            turn_id=inbound.request_id,
-            previous_id=inbound.previous_turn_id,
+            turn_id=turn_id,
+            previous_id=inbound.scoped(inbound.previous_turn_id),
             input=inbound.body,
             output=output,
             instance_id=instance_id,
@@ -168,10 +169,10 @@
             kept_until_s=history.kept_until_s if inbound.previous_turn_id else 0.0,
         )
         await self._storage.put_turn(
-            record, key=inbound.program_id or inbound.request_id
+            record, key=inbound.scoped(inbound.program_id) or turn_id
         )
         self._cache.put(
-            inbound.request_id,
+            turn_id,
             History(
                 text=self.body + output,
                 instance_id=instance_id,
@@ -211,6 +212,9 @@
     ) -> AsyncIterator[Turn]:
         """Reserve the turn's tokens and read the turns that precede it.
 
+        Programs and turns belong to customers: another customer's turn does not exist
+        for a request, and an id names another program for each customer.
+
         Budgets belong to programs: tokens are counted whether or not the conversation
         is retained.
 
@@ -241,7 +245,7 @@
         try:
             if inbound.has_token_budget() and inbound.budget_tokens is not None:
                 await self._grant_manager.acquire(
-                    inbound.program_id,
+                    inbound.scoped(inbound.program_id),
                     inbound.max_output_tokens,
                     inbound.budget_tokens,
                     retention_s=retention_s or 0.0,
@@ -262,23 +266,23 @@
                 _cancel_unread(history_task)
             if reserved:
                 self._grant_manager.release(
-                    inbound.program_id,
+                    inbound.scoped(inbound.program_id),
                     inbound.max_output_tokens,
                     turn.used_tokens() if turn is not None else 0,
                 )
 
     async def _read_history(self, inbound: InboundRequest) -> History:
-        previous_id = inbound.previous_turn_id
+        previous_id = inbound.scoped(inbound.previous_turn_id)
         cached = self._cache.get(previous_id)
         if cached is not None:
             return cached
         records = await self._storage.read_chain(
-            previous_id, key=inbound.program_id or previous_id
+            previous_id, key=inbound.scoped(inbound.program_id) or previous_id
         )
         log_event(
             "history_read",
             request=inbound.request_id,
-            turn=previous_id,
+            turn=inbound.previous_turn_id,
             turns=len(records),
         )
         history = History(
--- a/lentilroad/membership/crash_messages.py
+++ b/lentilroad/membership/crash_messages.py
@@ -16,8 +16,9 @@
     Attributes
     ----------
     target : bytes
-        Digest of the customer's credential, host, method and target; empty if requests
-        to this target have succeeded, so that the target alone causes no crash.
+        Digest of the customer (without customers, of the credential), host, method and
+        target; empty if requests to this target have succeeded, so that the target
+        alone causes no crash.
     content : bytes
         Digest of the target and the body; empty if there is no body.
     """
--- a/lentilroad/platform/configuration.py
+++ b/lentilroad/platform/configuration.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lentilroad.errors import ConfigurationError
-from lentilroad.version.customers import Customer, CustomerTable
+from lentilroad.platform.customers import decode_customers
 from lentilroad.version.routes import (
     ClientLimits,
     EngineLimits,
@@ -55,14 +55,6 @@
     allow_anonymous: bool = False
 
 
-class _Tenant(msgspec.Struct, rename="pascal"):
-    name: str
-    api_keys: list[str] = []
-    priority: _Rank | None = None
-    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
-    burst: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
-
-
 class _Engine(msgspec.Struct, rename="pascal"):
     slots: _Count = 1
     kv_cache_tokens: _Count = 0
@@ -88,7 +80,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    tenants: list[msgspec.Raw] | None = None
 
 
 def decode_configuration(content: bytes) -> RouteTable:
@@ -120,26 +112,7 @@
             header_timeout_s=configuration.limits.header_timeout_ms / 1000,
             idle_timeout_s=configuration.limits.idle_timeout_ms / 1000,
         ),
-        customers=_customers(configuration.tenants),
-    )
-
-
-def _customers(tenants: list[_Tenant] | None) -> CustomerTable | None:
-    if not tenants:
-        return None
-    return CustomerTable(
-        customers=[
-            (
-                Customer(
-                    name=tenant.name,
-                    priority=tenant.priority,
-                    rate_per_s=tenant.rate_per_s,
-                    burst=tenant.burst,
-                ),
-                tenant.api_keys,
-            )
-            for tenant in tenants
-        ]
+        customers=decode_customers(configuration.tenants, configuration.version),
     )
 
 
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -141,6 +141,9 @@
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
+        keys_confirmed=lambda: _is_recent(
+            lists.copies[CONFIGURATION_KEY], settings.bounds.revoke_s
+        ),
     )
     telemetry.add_gauge("open_requests", lambda: ingress.open_requests)
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
@@ -216,6 +219,11 @@
     )
 
 
+def _is_recent(configuration: ListCopy, revoke_s: float | None) -> bool:
+    """Return whether the configuration's keys may be accepted."""
+    return revoke_s is None or configuration.age_s() <= revoke_s
+
+
 async def _sweep_directory(
     directory: UpstreamDirectory, dispatcher: Dispatcher
 ) -> None:
--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -30,6 +30,9 @@
 COOKIE = b"cookie"
 CREDENTIAL = b"authorization"
 LAST_EVENT_ID = b"last-event-id"
+# Name of the customer that holds the request's key.
+CUSTOMER = b"lentilroad-tenant"
+KEY_SCHEME = "bearer"
 
 # No valid count or size is longer, and int() raises on very long numbers.
 MAX_DIGITS = 18
@@ -54,6 +57,7 @@
     (
         DEADLINE,
         EXPECTED_INSTANCE,
+        CUSTOMER,
         b"lentilroad-expected-version",
         b"lentilroad-hold",
         b"lentilroad-pin-milliseconds",
@@ -62,14 +66,26 @@
         b"kv-fetch",
     )
 )
+# Headers that are not forwarded if the configuration has customers.
+_CREDENTIAL_HEADERS = frozenset((CREDENTIAL,))
 _METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH", "DELETE"))
 
 
 def decode_request(
-    method: str, target: str, headers: Iterable[Header]
+    method: str,
+    target: str,
+    headers: Iterable[Header],
+    *,
+    with_customers: bool = False,
 ) -> InboundRequest:
     """Decode the head of a caller's request.
 
+    Parameters
+    ----------
+    with_customers : bool
+        Whether the configuration has customers. The credential is then read as a key
+        and is not forwarded.
+
     Raises
     ------
     InvalidRequestError
@@ -84,6 +100,7 @@
         raise InvalidRequestError(
             "the request lacks a Host or a Lentilroad-Attempt-Id header; add both"
         )
+    withheld = _CREDENTIAL_HEADERS if with_customers else frozenset()
     prompt_tokens, most_tokens = _decode_token_counts(values.get(TOKEN_COUNTS, b""))
     return InboundRequest(
         request_id=request_id,
@@ -95,9 +112,13 @@
             for name, value in headers
             if (lower := name.lower()) not in _HOP_BY_HOP_HEADERS
             and lower not in _RESERVED_HEADERS
+            and lower not in withheld
             and lower not in connection_options
         ],
-        credential=_decode_text(values.get(CREDENTIAL, b"")),
+        credential=(
+            "" if with_customers else _decode_text(values.get(CREDENTIAL, b""))
+        ),
+        key=_decode_key(headers) if with_customers else "",
         deadline_s=_decode_seconds(values.get(DEADLINE)),
         program_id=_decode_text(values.get(PROGRAM_ID, b"")),
         session_id=_decode_text(values.get(SESSION_ID, b"")),
@@ -151,6 +172,8 @@
             instance_id.encode("latin-1"),
         )
     )
+    if inbound.customer is not None:
+        lines.append(b"Lentilroad-Tenant: %s\r\n" % inbound.customer.name.encode())
     if body or inbound.method in _METHODS_WITH_BODY:
         lines.append(b"Content-Length: %d\r\n" % len(body))
     lines.append(b"\r\n")
@@ -208,6 +231,15 @@
     return value.strip().decode("latin-1")
 
 
+def _decode_key(headers: Iterable[Header]) -> str:
+    """Return the request's key; empty if it has none, several, or an odd one."""
+    credentials = [value for name, value in headers if name.lower() == CREDENTIAL]
+    if len(credentials) != 1:
+        return ""
+    scheme, _, key = _decode_text(credentials[0]).partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+
 def _without_port(host: str) -> str:
     name, separator, port = host.rpartition(":")
     return name if separator and port.isdigit() else host
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -14,13 +14,21 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class TimeBounds:
-    """Time limits that the operator sets for this deployment."""
+    """Time limits that the operator sets for this deployment.
+
+    Attributes
+    ----------
+    revoke_s : float or None
+        Age of the configuration from which an entry accepts no keys, because a newer
+        version may have taken them away; None for no limit.
+    """
 
     drain_s: float
     stop_grace_s: float
     configuration_apply_s: float
     catch_up_s: float
     event_pass_s: float
+    revoke_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -140,10 +148,20 @@
             / 1000,
             catch_up_s=_number({"Bounds": bounds}, "Bounds.CatchUpS"),
             event_pass_s=_number({"Bounds": bounds}, "Bounds.PassMs") / 1000,
+            revoke_s=_revoke_s(bounds),
         ),
     )
 
 
+def _revoke_s(bounds: dict[str, Any]) -> float | None:
+    """Return the longest age of a configuration whose keys are accepted, or None."""
+    if "RevokeWhenPartitioned" not in bounds:
+        return None
+    if not _value({"Bounds": bounds}, "Bounds.RevokeWhenPartitioned", bool):
+        return None
+    return _number({"Bounds": bounds}, "Bounds.RevokeMs") / 1000
+
+
 def _find(document: dict[str, Any], path: str) -> Any:
     found: Any = document
     for key in path.split("."):
--- a/lentilroad/request/fingerprints.py
+++ b/lentilroad/request/fingerprints.py
@@ -27,6 +27,9 @@
 
 def target_digest(inbound: InboundRequest) -> bytes:
     """Return the part of the fingerprint that does not depend on the body."""
-    # None of the parts contains a line feed.
-    parts = (inbound.credential, inbound.host, inbound.method, inbound.target)
+    # None of the parts contains a line feed. All keys of a customer count as one.
+    owner = inbound.credential
+    if inbound.customer is not None:
+        owner = f"customer\n{inbound.customer.name}"
+    parts = (owner, inbound.host, inbound.method, inbound.target)
     return blake2b("\n".join(parts).encode(), digest_size=DIGEST_BYTES).digest()
--- a/lentilroad/request/inbound.py
+++ b/lentilroad/request/inbound.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lentilroad.connection.http_exchange import Header, ResponseHead
-from lentilroad.version.customers import Customer
+from lentilroad.version.customers import Customer, scoped_id
 
 
 @dataclass(slots=True, kw_only=True)
@@ -20,9 +20,13 @@
     forwarded_headers : list of (bytes, bytes)
         Headers that are forwarded to the upstream.
     credential : str
-        Credential by which the platform tells customers apart; empty for none.
+        Credential that is forwarded to the upstream and that tells callers apart if the
+        configuration has no customers; otherwise empty.
+    key : str
+        Key of a customer; empty if the request carries none or several, if the
+        configuration has no customers, and once the customer is known.
     customer : Customer or None
-        Customer that holds the credential's key; None if requests need no key.
+        Customer that holds the key; None for requests that need no key.
     deadline_s : float or None
         Seconds until the caller gives up; None if not stated.
     finish_s : float or None
@@ -43,7 +47,8 @@
     host: str
     forwarded_headers: list[Header]
     body: bytes = b""
-    credential: str = ""
+    credential: str = field(default="", repr=False)
+    key: str = field(default="", repr=False)
     customer: Customer | None = None
     deadline_s: float | None = None
     program_id: str = ""
@@ -60,6 +65,13 @@
         """Return whether the request's tokens count against a program's budget."""
         return self.budget_tokens is not None and bool(self.program_id)
 
+    def scoped(self, plain_id: str) -> str:
+        """Return an id of the caller as an id that no other customer's requests share.
+
+        An empty id stays empty.
+        """
+        return scoped_id(self.customer, plain_id)
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ResponseFlags:
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -27,6 +27,7 @@
 from lentilroad.process.events import log_event
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.attempts import AttemptRunner
+from lentilroad.request.authentication import identify_customer
 from lentilroad.request.caller_body import discard_body, read_body
 from lentilroad.request.const import (
     DEADLINE_MARGIN_S,
@@ -43,12 +44,24 @@
 )
 from lentilroad.request.streaming import StreamRelay
 from lentilroad.request.work import PlacementRequest
-from lentilroad.version.routes import RouteKind, RouteTable
+from lentilroad.version.routes import RouteKind, RouteTable, request_priority
 
 # Finish time that is assumed for programs that state none.
 DEFAULT_FINISH_S = 3600.0
 
-DecodeRequest = Callable[[str, str, tuple[Header, ...]], InboundRequest]
+
+class DecodeRequest(Protocol):
+    """Decode a request without its body."""
+
+    def __call__(
+        self,
+        method: str,
+        target: str,
+        headers: tuple[Header, ...],
+        *,
+        with_customers: bool,
+    ) -> InboundRequest:
+        """Return the request; raises `InvalidRequestError`."""
 
 
 class WaitUntilReady(Protocol):
@@ -88,6 +101,9 @@
         Called with an instance that stated another rate limit than before.
     suspects : CrashSuspects
         Requests that may crash the instances that run them.
+    keys_confirmed : callable, optional
+        Returns whether the configuration is recent enough to accept keys; it always is
+        if omitted.
     """
 
     def __init__(
@@ -105,8 +121,10 @@
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
         suspects: CrashSuspects,
+        keys_confirmed: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
+        self._keys_confirmed = keys_confirmed
         self._decode = decode
         self._protocol = protocol
         self._dispatcher = dispatcher
@@ -171,10 +189,19 @@
                     retry_after_ms=int(SERVICE_RETRY_AFTER_MAX_S * 1000),
                 )
             inbound = self._decode(
-                request.method, request.raw_path, request.raw_headers
+                request.method,
+                request.raw_path,
+                request.raw_headers,
+                with_customers=table.customers is not None,
             )
             request_id = inbound.request_id
             exchange = self._route(table, inbound, request, began_s)
+            identify_customer(
+                inbound,
+                table,
+                open_to_all=exchange.route.open_to_all,
+                keys_confirmed=self._keys_confirmed,
+            )
             inbound.body = await read_body(
                 request,
                 table.limits.max_body_bytes,
@@ -312,7 +339,10 @@
             rank=self._rank(exchange),
             remaining_s=0.0,
             prompt_parts=inbound.prompt_parts,
-            affinity_key=inbound.affinity_key if exchange.route.sticky else "",
+            customer=inbound.customer.name if inbound.customer is not None else "",
+            affinity_key=(
+                inbound.scoped(inbound.affinity_key) if exchange.route.sticky else ""
+            ),
         )
 
     def _tokens_per_event(self, exchange: Exchange) -> int:
@@ -339,13 +369,14 @@
         await asyncio.Event().wait()
 
     def _rank(self, exchange: Exchange) -> tuple[float, ...]:
-        """Return the sort key by route priority, running programs, and finish time."""
+        """Return the sort key by priority, running programs, and finish time."""
         new_program = 0.0 if exchange.inbound.previous_turn_id else 1.0
         finish_s = exchange.inbound.finish_s
         if finish_s is None:
             finish_s = DEFAULT_FINISH_S
         finish_at_s = exchange.began_s + finish_s
-        return (float(exchange.route.priority), new_program, finish_at_s)
+        priority = request_priority(exchange.route, exchange.inbound.customer)
+        return (float(priority), new_program, finish_at_s)
 
     def _finish(self, exchange: Exchange, status: int) -> None:
         elapsed_s = self._clock.monotonic_s() - exchange.began_s
@@ -399,6 +430,8 @@
         )
         if error.retry_after_ms is not None and status in (429, 503):
             response.headers["Retry-After"] = f"{error.retry_after_ms / 1000:.3f}"
+        if status == 401:
+            response.headers["WWW-Authenticate"] = "Bearer"
         if self._stopping():
             response.force_close()
         return response
--- a/lentilroad/request/refusals.py
+++ b/lentilroad/request/refusals.py
@@ -8,7 +8,9 @@
     InvalidRequestError,
     LentilroadError,
     NotFoundError,
+    RateLimitedError,
     RequestTooLargeError,
+    UnauthenticatedError,
     UpstreamError,
 )
 from lentilroad.request.const import SERVICE_RETRY_AFTER_MIN_S
@@ -61,6 +63,8 @@
         (
             NotFoundError,
             InvalidRequestError,
+            UnauthenticatedError,
+            RateLimitedError,
             RequestTooLargeError,
             RequestTimeoutError,
         ),
--- a/lentilroad/version/customers.py
+++ b/lentilroad/version/customers.py
@@ -6,6 +6,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+# Neither the value of a header nor the name of a customer contains a line feed.
+SCOPE_SEPARATOR = "\n"
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Customer:
@@ -16,7 +19,8 @@
     name : str
         Name, which instances receive with each request of the customer.
     priority : int or None
-        Priority that replaces the one of a request's route; None to keep the route's.
+        Priority that replaces that of the route of each request; None to keep the
+        route's.
     rate_per_s : float
         Requests per second over all entries; 0 for no limit.
     burst : float
@@ -60,6 +64,22 @@
         return self._by_digest.get(key_digest(key))
 
 
+def scoped_id(customer: Customer | None, plain_id: str) -> str:
+    """Return an id that no other customer's requests share.
+
+    Callers choose the ids of their programs and turns, so two customers may use the
+    same one. Without a customer, or for an empty id, the id is returned unchanged.
+    """
+    if customer is None or not plain_id:
+        return plain_id
+    return f"{customer.name}{SCOPE_SEPARATOR}{plain_id}"
+
+
+def unscoped_id(scoped: str) -> str:
+    """Return the id that the caller sent, for messages and log lines."""
+    return scoped.rpartition(SCOPE_SEPARATOR)[2]
+
+
 def key_digest(key: str) -> bytes:
     """Return the digest by which a key is looked up."""
     return hashlib.sha256(key.encode()).digest()
--- a/lentilroad/version/routes.py
+++ b/lentilroad/version/routes.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass
 
-from lentilroad.version.customers import CustomerTable
+from lentilroad.version.customers import Customer, CustomerTable
 
 # Callers abandon a stream after the longest of: this gap between events, this multiple
 # of the latency target, this multiple of the target gap between events.
@@ -106,6 +106,16 @@
     idle_timeout_s: float = 15.0
 
 
+def request_priority(route: Route, customer: Customer | None) -> int:
+    """Return the priority of a customer's requests to a route; 0 is the highest.
+
+    The priority of a customer that has one replaces the route's.
+    """
+    if customer is None or customer.priority is None:
+        return route.priority
+    return customer.priority
+
+
 class RouteTable:
     """Routes, services and client limits of one configuration version.
 
