--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -17,6 +17,7 @@
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
+from lentilroad.version.customers import CustomerTable
 from lentilroad.version.routes import ClientLimits, Route, RouteTable, Service
 from tests.fakes.crashes import CrashCoordinatorGroup
 from tests.fakes.permits import CoordinatorGroup
@@ -24,7 +25,9 @@
 ATTEMPT_ID = "Lentilroad-Attempt-Id"
 
 
-def route_table(routes: list[Route], version: int = 1) -> RouteTable:
+def route_table(
+    routes: list[Route], version: int = 1, *, customers: CustomerTable | None = None
+) -> RouteTable:
     """Return a route table with the routes and the services that they use."""
     names = {name for route in routes for name, _ in route.services}
     return RouteTable(
@@ -35,6 +38,7 @@
             for name in names
         },
         limits=ClientLimits(),
+        customers=customers,
     )
 
 
@@ -94,6 +98,7 @@
         on_unresponsive=fields.get("on_unresponsive", lambda state: None),
         on_rate_limit=permits.report,
         suspects=suspects,
+        keys_confirmed=fields.get("keys_confirmed", lambda: True),
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
