Review a configuration before it is sent

Operators learned of a prefix without a slash, a second route with the same address, a target above the timeout or a key in two customers only from the requests that failed. The command review prints such errors, entries without effect and what differs from the version in force, without any key.

--- a/lentilroad/platform/__main__.py
+++ b/lentilroad/platform/__main__.py
@@ -4,11 +4,15 @@
   lentilroad-platform entry [--learn-speeds] [--settings FILE]
   lentilroad-platform storage [--settings FILE]
   lentilroad-platform check [--settings FILE]
+  lentilroad-platform review CONFIGURATION [--in-force FILE]
 
 Commands:
   entry    Serve callers and route to the workers.
   storage  Keep conversations and budgets on the disk of this machine.
   check    Check the settings file and exit.
+  review   Check a configuration (JSON) before it is sent: errors, entries without
+           effect, limits that contradict each other, and what differs from the
+           configuration in force.
 
 Options:
   --learn-speeds   Send less work to instances whose streams take longer than
@@ -16,9 +20,11 @@
   --settings FILE  Settings in the platform's format (TOML); the variable
                    LENTILROAD_BOOT names it when omitted.
 
+  --in-force FILE  Configuration in force, to compare with.
+
 Exit codes:
   0  done
-  2  the settings are wrong
+  2  the settings or the reviewed configuration are wrong
 """
 
 from __future__ import annotations
@@ -27,6 +33,7 @@
 import os
 import socket
 import sys
+from pathlib import Path
 
 from docopt import docopt
 
@@ -44,6 +51,8 @@
 def main(arguments: list[str]) -> int:
     """Run one command; return the exit code."""
     options = docopt(__doc__, argv=arguments)
+    if options["review"]:
+        return _review(options["CONFIGURATION"], options["--in-force"])
     try:
         path = settings_path(dict(os.environ), SETTINGS_VARIABLE, options["--settings"])
         settings = read_settings(path)
@@ -57,6 +66,21 @@
     return _run_entry(settings, learn_speeds=options["--learn-speeds"])
 
 
+def _review(path: str, in_force: str | None) -> int:
+    from lentilroad.platform.review import Severity, review_configuration
+
+    try:
+        content = Path(path).read_bytes()
+        content_in_force = Path(in_force).read_bytes() if in_force else None
+    except OSError as error:
+        print(f"error: {error.filename}: {error.strerror}; name a readable file")
+        return 2
+    findings = review_configuration(content, content_in_force)
+    for finding in findings:
+        print(finding.line())
+    return 2 if any(f.severity is Severity.ERROR for f in findings) else 0
+
+
 def _run_entry(settings: ProcessSettings, *, learn_speeds: bool) -> int:
     # Listen first: callers that connect while the modules load wait in the backlog
     # instead of being refused.
--- a/lentilroad/platform/customers.py
+++ b/lentilroad/platform/customers.py
@@ -40,14 +40,19 @@
 class _Faults:
     """Faults of one version, which are logged up to a bound."""
 
-    __slots__ = ("_count", "_version")
+    __slots__ = ("_count", "_version", "found")
 
-    def __init__(self, *, version: int) -> None:
+    def __init__(self, *, version: int | None) -> None:
         self._version = version
         self._count = 0
+        # Customer and fault; not kept while a version is applied.
+        self.found: list[tuple[str, str]] = []
 
     def add(self, customer: str, fault: str) -> None:
         """Log a fault of a customer, with its effect and remedy."""
+        if self._version is None:
+            self.found.append((customer, fault))
+            return
         self._count += 1
         if self._count <= MAX_LOGGED_FAULTS:
             log_event(
@@ -79,6 +84,19 @@
     if tenants is None:
         return None
     faults = _Faults(version=version)
+    table = _decode_table(tenants, faults)
+    faults.log_count()
+    return table
+
+
+def review_customers(tenants: list[msgspec.Raw]) -> list[tuple[str, str]]:
+    """Return the faults of customers that are not in force, with their names."""
+    faults = _Faults(version=None)
+    _decode_table(tenants, faults)
+    return faults.found
+
+
+def _decode_table(tenants: list[msgspec.Raw], faults: _Faults) -> CustomerTable:
     customers: dict[str, Customer] = {}
     keys: dict[str, list[str]] = {}
     for position, encoded in enumerate(tenants):
@@ -108,7 +126,6 @@
             customers[name] = _decode_customer(name, tenant, faults)
         keys.setdefault(name, []).extend(_decode_keys(name, tenant, faults))
     shared = _shared_keys(keys, faults)
-    faults.log_count()
     return CustomerTable(
         customers=[
             (customer, [key for key in keys[name] if key not in shared])
