Separate the calls to coordinators and their order of waits from rate limits

Quotas of customers need the same choice of the first reachable coordinator, the same pause of one that does not answer and the same order of refused entries. CoordinatorCaller and WaitOrder hold them now; permits and rate limits use both without a change of behaviour.

--- a/lentilroad/membership/rate_limits.py
+++ b/lentilroad/membership/rate_limits.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lentilroad.clock import Clock
+from lentilroad.membership.wait_order import WaitOrder
 from lentilroad.process.events import log_event
 from lentilroad.wire.services import Method
 
@@ -27,12 +28,9 @@
 MIN_RATE_PER_S = 0.1
 # Longest time after which a refused entry asks again, in a small group of entries.
 MAX_PAUSE_S = 0.5
-MIN_PAUSE_S = 0.01
 # Requests for permits of one instance that a coordinator accepts per second from all
 # entries that are refused; in a larger group of entries each one pauses for longer.
 MAX_REFUSALS_PER_S = 20.0
-# An entry that does not ask again this long after its pause needs no permit.
-CONTENDER_EXPIRY_S = 1.0
 BUCKET_EXPIRY_S = 60.0
 
 
@@ -100,18 +98,15 @@
     ----------
     next_permit_s : float
         Monotonic time at which the next permit becomes available.
-    next_expected_s : float
-        Monotonic time at which the next refused entry can expect a permit.
-    contenders : dict of str to float
-        Monotonic time until which each entry counts as contending.
+    order : WaitOrder
+        Entries that were refused a permit.
     """
 
     limit_per_s: float | None
     stated_at_s: float
     next_permit_s: float
-    next_expected_s: float = 0.0
     used_s: float = 0.0
-    contenders: dict[str, float] = field(default_factory=dict)
+    order: WaitOrder = field(default_factory=WaitOrder)
 
 
 class RateLimitCoordinator:
@@ -147,18 +142,24 @@
         granted = _take(bucket, request.wanted, rate_per_s, now_s)
         pause_s = expected_wait_s = 0.0
         if granted == 0 and request.wanted > 0:
-            expected_wait_s = _next_wait_s(bucket, request.entry, rate_per_s, now_s)
-            longest_s = max(MAX_PAUSE_S, len(bucket.contenders) / MAX_REFUSALS_PER_S)
+            expected_wait_s = bucket.order.next_wait_s(
+                request.entry,
+                rate_per_s=rate_per_s,
+                available_at_s=bucket.next_permit_s,
+                now_s=now_s,
+            )
+            contenders = len(bucket.order.contenders)
+            longest_s = max(MAX_PAUSE_S, contenders / MAX_REFUSALS_PER_S)
             pause_s = min(longest_s, expected_wait_s)
         if request.wanted > 0:
-            bucket.contenders[request.entry] = now_s + pause_s + CONTENDER_EXPIRY_S
+            bucket.order.add(request.entry, now_s=now_s, pause_s=pause_s)
         return _reply(
             bucket,
             now_s,
             granted=granted,
             pause_s=pause_s,
             expected_wait_s=expected_wait_s,
-            share_per_s=rate_per_s / max(1, len(bucket.contenders)),
+            share_per_s=rate_per_s / max(1, len(bucket.order.contenders)),
         )
 
     def _bucket(self, request: PermitRequest, now_s: float) -> _Bucket:
@@ -187,11 +188,9 @@
                 # Times that entries were told at the former rate no longer apply.
                 interval_s = 1.0 / max(MIN_RATE_PER_S, request.limit_per_s or 0.0)
                 bucket.next_permit_s = min(bucket.next_permit_s, now_s + interval_s)
-                bucket.next_expected_s = 0.0
+                bucket.order.next_expected_s = 0.0
         bucket.used_s = now_s
-        for entry, until_s in list(bucket.contenders.items()):
-            if until_s < now_s:
-                del bucket.contenders[entry]
+        bucket.order.expire(now_s)
         return bucket
 
     def _remove_unused(self, now_s: float) -> None:
@@ -212,20 +211,6 @@
     return granted
 
 
-def _next_wait_s(bucket: _Bucket, entry: str, rate_per_s: float, now_s: float) -> float:
-    """Return the seconds after which a refused entry can expect a permit.
-
-    Refused entries expect one permit each, in the order of their requests.
-    """
-    interval_s = 1.0 / rate_per_s
-    contenders = len(bucket.contenders.keys() | {entry})
-    expected_at_s = max(bucket.next_permit_s, bucket.next_expected_s)
-    bucket.next_expected_s = min(
-        expected_at_s + interval_s, now_s + contenders * interval_s
-    )
-    return max(MIN_PAUSE_S, expected_at_s - now_s)
-
-
 def _reply(
     bucket: _Bucket,
     now_s: float,
--- a/lentilroad/request/permits.py
+++ b/lentilroad/request/permits.py
@@ -7,23 +7,20 @@
 from typing import Any
 
 from lentilroad.clock import Clock
-from lentilroad.errors import LentilroadError
 from lentilroad.membership.rate_limits import (
     ACQUIRE_PERMITS,
     COORDINATOR_SHARES,
-    MIN_PAUSE_S,
     PermitReply,
     PermitRequest,
 )
 from lentilroad.membership.statements import Permits, RateLimit
 from lentilroad.membership.upstreams import UpstreamInstance, UpstreamState
+from lentilroad.membership.wait_order import MIN_PAUSE_S
 from lentilroad.process.events import log_event
+from lentilroad.request.coordinators import CoordinatorCaller
 
 # A permit is used at once; this bounds the wait of requests that share one call.
 PERMIT_VALID_S = 0.25
-CALL_TIMEOUT_S = 0.25
-# A coordinator that did not answer is not asked again for this long.
-COORDINATOR_RETRY_S = 1.0
 # An instance whose coordinators are all unreachable gets no requests for this long.
 UNREACHABLE_PAUSE_S = 0.5
 
@@ -52,12 +49,12 @@
         own_address: str,
         clock: Clock,
     ) -> None:
-        self._call = call
+        self._caller = CoordinatorCaller(
+            call=call, clock=clock, lost_event="rate_limit_coordinator_lost"
+        )
         self._coordinators = coordinators
         self._own_address = own_address
         self._clock = clock
-        # Monotonic times until which coordinators are not asked, by address.
-        self._failed_until_s: dict[str, float] = {}
         self._reports: set[asyncio.Task[None]] = set()
 
     async def take(self, state: UpstreamState) -> bool:
@@ -90,35 +87,23 @@
 
     async def _acquire(self, state: UpstreamState, *, wanted: int) -> None:
         coordinators = self._coordinators(state.instance)[: len(COORDINATOR_SHARES)]
-        for address in coordinators:
-            asked_s = self._clock.monotonic_s()
-            if self._failed_until_s.get(address, 0.0) > asked_s:
-                continue
-            try:
-                reply = await self._call(
-                    address,
-                    ACQUIRE_PERMITS,
-                    self._request(state, wanted),
-                    timeout_s=CALL_TIMEOUT_S,
-                )
-            except (LentilroadError, TimeoutError) as error:
-                self._failed_until_s[address] = (
-                    self._clock.monotonic_s() + COORDINATOR_RETRY_S
-                )
-                log_event(
-                    "rate_limit_coordinator_lost",
-                    instance=state.instance.instance_id,
-                    coordinator=address,
-                    error=str(error) or type(error).__name__,
-                )
-                continue
+        reply = await self._caller.ask(
+            coordinators,
+            ACQUIRE_PERMITS,
+            lambda address: self._request(state, wanted),
+            instance=state.instance.instance_id,
+        )
+        if reply is not None:
             # Counted back from the start of the call, so that an older statement does
             # not seem newer than one that arrived during the call.
             state.record_rate_limit(
-                RateLimit(per_s=reply.limit_per_s, stated_at_s=asked_s - reply.age_s)
+                RateLimit(
+                    per_s=reply.message.limit_per_s,
+                    stated_at_s=reply.asked_s - reply.message.age_s,
+                )
             )
             if wanted:
-                self._apply(state, reply)
+                self._apply(state, reply.message)
             return
         if wanted:
             self._pause(
