Keep customers' quotas over all entries

A customer's limit was not enforced anywhere. Each customer has a token bucket at one storage member; entries report together for all customers what they admitted and get back what they may admit next. Far from the limit an entry admits at once; near it, requests wait for a grant. A new coordinator learns from the entries what they admitted in the last window, and an entry without a coordinator uses an equal share. Off without QuotaWindowS, QuotaOverage and QuotaSlack.

--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -127,6 +127,10 @@
         """Return the addresses of all members, nearest first."""
         return [member.address for member in self._nearest_members("")]
 
+    def member_count(self) -> int:
+        """Return the number of members."""
+        return len(self._member_map.member_list.members)
+
     def coordinators(self, key: str, availability_zone: str) -> list[str]:
         """Return the addresses of the members that coordinate a key, in order."""
         ranked = rank_coordinators(self._member_map.member_list, key, availability_zone)
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -2,25 +2,34 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from lentilroad.errors import ConfigurationError
+from lentilroad.membership.quota_bounds import QuotaBounds
 
 SETTINGS_VARIABLE = "LENTILROAD_BOOT"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class TimeBounds:
-    """Time limits that the operator sets for this deployment."""
+    """Time limits that the operator sets for this deployment.
+
+    Attributes
+    ----------
+    quotas : QuotaBounds or None
+        Allowed excess over customers' quotas; None if quotas are not enforced.
+    """
 
     drain_s: float
     stop_grace_s: float
     configuration_apply_s: float
     catch_up_s: float
     event_pass_s: float
+    quotas: QuotaBounds | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -140,10 +149,33 @@
             / 1000,
             catch_up_s=_number({"Bounds": bounds}, "Bounds.CatchUpS"),
             event_pass_s=_number({"Bounds": bounds}, "Bounds.PassMs") / 1000,
+            quotas=_quota_bounds(bounds),
         ),
     )
 
 
+def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds | None:
+    """Return the allowed excess over quotas; None if no window is set."""
+    if "QuotaWindowS" not in bounds:
+        return None
+    # The others are required with the window, so that a typing error does not change
+    # the allowed excess unnoticed.
+    values = [
+        _number({"Bounds": bounds}, f"Bounds.{key}")
+        for key in ("QuotaWindowS", "QuotaOverage", "QuotaSlack")
+    ]
+    window_s, overage, slack = values
+    if not all(math.isfinite(value) and value >= 0.0 for value in values):
+        raise _invalid_setting(
+            "Bounds.QuotaWindowS, QuotaOverage and QuotaSlack",
+            values,
+            "numbers that are not negative",
+        )
+    if window_s <= 0.0:
+        raise _invalid_setting("Bounds.QuotaWindowS", window_s, "a number above zero")
+    return QuotaBounds(window_s=window_s, overage=overage, slack=slack)
+
+
 def _find(document: dict[str, Any], path: str) -> Any:
     found: Any = document
     for key in path.split("."):
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -52,6 +52,8 @@
 from lentilroad.membership.list_copy import ListCopy
 from lentilroad.membership.list_exchange import ListExchange
 from lentilroad.membership.list_messages import COMPARE_LISTS, ListItem
+from lentilroad.membership.quota_messages import REPORT_QUOTAS
+from lentilroad.membership.quotas import QuotaCoordinator
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS, RateLimitCoordinator
 from lentilroad.platform.configuration import (
     CONFIGURATION_KEY,
@@ -139,6 +141,9 @@
             current_map.member_list, disk_id, instance_id, zone
         ),
     )
+    quotas: QuotaCoordinator | None = None
+    if settings.bounds.quotas is not None:
+        quotas = QuotaCoordinator(clock=clock, bounds=settings.bounds.quotas)
     crashes = CrashCoordinator(clock=clock)
     address = f"{settings.ip}:{settings.peer_port}"
     joining = StorageMembership(
@@ -208,6 +213,7 @@
             END_TRIAL: crashes.end_trial,
             SHARE_SUSPECTS: crashes.share,
             COMPARE_LISTS: lists.receive,
+            **({} if quotas is None else {REPORT_QUOTAS: quotas.report}),
         },
         settings.ip,
         settings.peer_port,
@@ -224,6 +230,9 @@
     telemetry.add_gauge("disk_writable", lambda: int(replica.writable()))
     telemetry.add_gauge("disk_used_share", replica.used_share)
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
+    if quotas is not None:
+        telemetry.add_gauge("quota_customers", quotas.customer_count)
+        telemetry.add_gauge("quota_customers_at_limit", quotas.limited_count)
     await serve_text(
         f"{settings.ip}:{settings.metrics_port}",
         {"/metrics": lambda: (200, telemetry.text())},
--- a/lentilroad/request/coordinators.py
+++ b/lentilroad/request/coordinators.py
@@ -42,18 +42,36 @@
         Source of time.
     lost_event : str
         Name of the log event for a coordinator that did not answer.
+    longest_retry_s : float
+        Longest time after which a coordinator is asked again that did not answer
+        several times; the time doubles from `COORDINATOR_RETRY_S`.
     """
 
-    __slots__ = ("_call", "_clock", "_failed_until_s", "_lost_event")
+    __slots__ = (
+        "_call",
+        "_clock",
+        "_failed_until_s",
+        "_longest_retry_s",
+        "_lost_event",
+        "_retry_s",
+    )
 
     def __init__(
-        self, *, call: Callable[..., Awaitable[Any]], clock: Clock, lost_event: str
+        self,
+        *,
+        call: Callable[..., Awaitable[Any]],
+        clock: Clock,
+        lost_event: str,
+        longest_retry_s: float = COORDINATOR_RETRY_S,
     ) -> None:
         self._call = call
         self._clock = clock
         self._lost_event = lost_event
         # Monotonic times until which coordinators are not asked, by address.
         self._failed_until_s: dict[str, float] = {}
+        self._longest_retry_s = longest_retry_s
+        # Times after which coordinators that fail once more are asked again.
+        self._retry_s: dict[str, float] = {}
 
     async def ask(
         self,
@@ -84,9 +102,9 @@
                     address, method, request(address), timeout_s=CALL_TIMEOUT_S
                 )
             except (LentilroadError, TimeoutError) as error:
-                self._failed_until_s[address] = (
-                    self._clock.monotonic_s() + COORDINATOR_RETRY_S
-                )
+                retry_s = self._retry_s.get(address, COORDINATOR_RETRY_S)
+                self._failed_until_s[address] = self._clock.monotonic_s() + retry_s
+                self._retry_s[address] = min(self._longest_retry_s, 2.0 * retry_s)
                 log_event(
                     self._lost_event,
                     coordinator=address,
@@ -94,5 +112,6 @@
                     **log_fields,
                 )
                 continue
+            self._retry_s.pop(address, None)
             return CoordinatorReply(address=address, message=message, asked_s=asked_s)
         return None
