--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from lentilroad.clock import Clock, SystemClock
 from lentilroad.connection.peers import PeerConnections
@@ -47,6 +47,8 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
+from lentilroad.request.quota import QuotaClient
+from lentilroad.version.customers import Customer
 
 SWEEP_INTERVAL_S = 0.25
 # After a start, requests wait until the process has read the configuration, the list of
@@ -89,6 +91,18 @@
         own_address=own_address,
         clock=clock,
     )
+    quotas = QuotaClient(
+        call=relayed_calls.call,
+        coordinators=lambda key: storage.coordinators(key, ""),
+        member_count=storage.member_count,
+        entry_count=lambda: len(relayed_calls.entries()),
+        customers=lambda: _customers(state),
+        version=lambda: state.table.version if state.table else 0,
+        own_address=own_address,
+        clock=clock,
+        bounds=settings.bounds.quotas,
+        count=lambda name, customer: telemetry.count(name, customer=customer),
+    )
     dispatcher = Dispatcher(
         directory=directory,
         clock=clock,
@@ -133,6 +147,7 @@
         on_unresponsive=suspicions.report,
         on_rate_limit=permits.report,
         suspects=suspects,
+        quotas=quotas,
         table=lambda: state.table,
         decode=decode_request,
         protocol=worker_protocol(),
@@ -149,6 +164,7 @@
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
+    telemetry.add_gauge("quota_customers_refused", quotas.limited_count)
 
     lists = ListExchange(
         copies=_list_copies(state, directory, dispatcher, storage, clock),
@@ -195,6 +211,7 @@
         ),
         relayed_calls.announce_regularly(storage.addresses),
         suspects.synchronize_regularly(),
+        quotas.report_regularly(),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
@@ -223,6 +240,12 @@
     dispatcher.dispatch_waiting()
 
 
+def _customers(state: GatewayState) -> Iterable[Customer]:
+    if state.table is None or state.table.customers is None:
+        return ()
+    return state.table.customers.by_name.values()
+
+
 def _list_copies(
     state: GatewayState,
     directory: UpstreamDirectory,
--- a/lentilroad/request/quota.py
+++ b/lentilroad/request/quota.py
@@ -286,10 +286,13 @@
         if self._may_admit_unasked(use, group, now_s):
             use.unasked_reply = group.replies
             return True
-        if use.local is not None and not group.lost:
-            # A link that fails again and again does not renew the share each time.
-            if now_s - use.local.began_s > self._bounds.window_s:
-                use.local = None
+        # A link that fails again and again does not renew the share each time.
+        if (
+            use.local is not None
+            and not group.lost
+            and now_s - use.local.began_s > self._bounds.window_s
+        ):
+            use.local = None
         if group.lost and group.report is None:
             if use.local is None:
                 use.local = self._local_share(use, group, now_s)
