--- a/lentilroad/membership/quota_messages.py
+++ b/lentilroad/membership/quota_messages.py
@@ -15,7 +15,8 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 SmallCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Limits of a configuration may be larger than any machine serves.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 
 
 class QuotaItem(msgspec.Struct, kw_only=True, array_like=True):
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -20,6 +20,9 @@
 
     Attributes
     ----------
+    revoke_s : float or None
+        Age of the configuration from which an entry accepts no keys, because a newer
+        version may have taken them away; None for no limit.
     quotas : QuotaBounds or None
         Allowed excess over customers' quotas; None if quotas are not enforced.
     """
@@ -29,6 +32,7 @@
     configuration_apply_s: float
     catch_up_s: float
     event_pass_s: float
+    revoke_s: float | None = None
     quotas: QuotaBounds | None = None
 
 
@@ -149,11 +153,21 @@
             / 1000,
             catch_up_s=_number({"Bounds": bounds}, "Bounds.CatchUpS"),
             event_pass_s=_number({"Bounds": bounds}, "Bounds.PassMs") / 1000,
+            revoke_s=_revoke_s(bounds),
             quotas=_quota_bounds(bounds),
         ),
     )
 
 
+def _revoke_s(bounds: dict[str, Any]) -> float | None:
+    """Return the longest age of a configuration whose keys are accepted, or None."""
+    if "RevokeWhenPartitioned" not in bounds:
+        return None
+    if not _value({"Bounds": bounds}, "Bounds.RevokeWhenPartitioned", bool):
+        return None
+    return _number({"Bounds": bounds}, "Bounds.RevokeMs") / 1000
+
+
 def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds | None:
     """Return the allowed excess over quotas; None if no window is set."""
     if "QuotaWindowS" not in bounds:
