--- a/tests/request/test_quota.py
+++ b/tests/request/test_quota.py
@@ -265,7 +265,6 @@
 
 def test_entry_that_never_reached_a_coordinator_admits_little() -> None:
     """An entry starts while all coordinators are unreachable."""
-
     customer = Customer(name="c", rate_per_s=10.0, burst=10.0)
 
     async def main() -> int:
