Grant what waits before what is expected

With one entry asking, a quarter of the bucket was granted at a time and the rest of its waiting requests were neither admitted nor refused for up to 1 s.

--- a/lentilroad/membership/quotas.py
+++ b/lentilroad/membership/quotas.py
@@ -42,8 +42,8 @@
 REFRESH_INTERVAL_S = 0.1
 # Rate by which waits are computed while hardly any entry reports.
 MIN_RATE_PER_S = 1e-3
-# Part of the bucket that one grant may take while other entries may ask.
-MAX_GRANT_SHARE = 0.25
+# Part of the bucket that one grant may take for requests that are only expected.
+MAX_SPARE_SHARE = 0.25
 # Part of its bucket that a new entry may use at once although nobody can tell what was
 # used before. The rest of the excess and the time of its start cover it.
 MIN_KNOWN_SHARE = 0.3
@@ -432,19 +432,19 @@
         reserve = self._bounds.reserve(bucket.rate_per_s, bucket.burst)
         reserve *= self._present_share
         waiting = item.waiting - item.waiting_under_way
-        under_way = _part_of(item.waiting_under_way, bucket.level, bucket)
-        available = bucket.level - under_way - reserve
-        granted = _part_of(item.wanted + waiting, available, bucket)
+        under_way = min(item.waiting_under_way, _available(bucket, bucket.level))
+        left = bucket.level - under_way - reserve
+        granted = min(waiting, _available(bucket, left))
+        spare = (left - granted) * MAX_SPARE_SHARE
+        granted += min(item.wanted, _available(bucket, spare))
         bucket.level -= granted + under_way
         bucket.held += granted + under_way
         bucket.parts[address].held += granted + under_way
         rate_per_s = max(MIN_RATE_PER_S, self._rate_per_s(bucket))
         wait_s = wait_under_way_s = 0.0
-        if under_way + granted < item.waiting_under_way and self._is_used_up(
-            bucket, 0.0
-        ):
+        if under_way + granted < item.waiting_under_way:
             wait_under_way_s = self._wait_s(bucket, address, 0.0, now_s)
-        if granted < waiting and self._is_used_up(bucket, reserve):
+        if granted < waiting:
             wait_s = self._wait_s(bucket, address, reserve, now_s)
         if wait_s > 0.0 or wait_under_way_s > 0.0:
             self._record_refusal(item.customer, bucket, now_s)
@@ -457,11 +457,6 @@
             share_per_s=rate_per_s / max(1, len(bucket.order.contenders)),
         )
 
-    def _is_used_up(self, bucket: _Bucket, reserve: float) -> bool:
-        """Return whether not every contending entry could get one more grant now."""
-        contenders = max(1, len(bucket.order.contenders))
-        return bucket.level - reserve < contenders
-
     def _wait_s(
         self, bucket: _Bucket, address: str, reserve: float, now_s: float
     ) -> float:
@@ -501,12 +496,12 @@
         bucket.refused = 0
 
 
-def _part_of(wanted: int, available: float, bucket: _Bucket) -> int:
-    """Return what one entry is granted of the requests that are available."""
-    if wanted <= 0 or available < 1.0:
+def _available(bucket: _Bucket, level: float) -> int:
+    """Return how many requests one entry is granted at most.
+
+    One is left for each other entry that was refused before.
+    """
+    if level < 1.0:
         return 0
     contenders = max(1, len(bucket.order.contenders))
-    share = max(1.0, available * MAX_GRANT_SHARE)
-    if contenders > 1:
-        share = max(1.0, available / contenders)
-    return min(wanted, int(share))
+    return int(max(1.0, level / contenders, level - contenders))
