--- a/lentilroad/membership/quota_bounds.py
+++ b/lentilroad/membership/quota_bounds.py
@@ -25,7 +25,7 @@
 # Grants that are older are not used.
 GRANT_VALID_S = 1.0
 # Storage members for each member that coordinates quotas.
-MEMBERS_PER_GROUP = 16
+MEMBERS_PER_GROUP = 64
 # Length of the slots in which entries remember what they admitted.
 SLOT_S = 0.5
 
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -169,25 +169,21 @@
 
 
 def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds | None:
-    """Return the allowed excess over quotas; None if no window is set."""
-    if "QuotaWindowS" not in bounds:
-        return None
-    # The others are required with the window, so that a typing error does not change
-    # the allowed excess unnoticed.
-    values = [
-        _number({"Bounds": bounds}, f"Bounds.{key}")
+    """Return the allowed excess over quotas; None without a window or with 0."""
+    values = {
+        key: _number({"Bounds": bounds}, f"Bounds.{key}") if key in bounds else 0.0
         for key in ("QuotaWindowS", "QuotaOverage", "QuotaSlack")
-    ]
-    window_s, overage, slack = values
-    if not all(math.isfinite(value) and value >= 0.0 for value in values):
-        raise _invalid_setting(
-            "Bounds.QuotaWindowS, QuotaOverage and QuotaSlack",
-            values,
-            "numbers that are not negative",
-        )
-    if window_s <= 0.0:
-        raise _invalid_setting("Bounds.QuotaWindowS", window_s, "a number above zero")
-    return QuotaBounds(window_s=window_s, overage=overage, slack=slack)
+    }
+    for key, value in values.items():
+        if not math.isfinite(value) or value < 0.0:
+            raise _invalid_setting(f"Bounds.{key}", value, "a number from 0 on")
+    if values["QuotaWindowS"] == 0.0:
+        return None
+    return QuotaBounds(
+        window_s=values["QuotaWindowS"],
+        overage=values["QuotaOverage"],
+        slack=values["QuotaSlack"],
+    )
 
 
 def _find(document: dict[str, Any], path: str) -> Any:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -54,6 +54,9 @@
         ("InternalPortRange", [7380]),
         ("FaultTolerance.Machines", True),
         ("NodeName", 7),
+        ("Bounds.QuotaWindowS", -1),
+        ("Bounds.QuotaSlack", float("nan")),
+        ("Bounds.QuotaOverage", "0.1"),
     ],
 )
 def test_error_names_the_wrong_setting(path: str, value: object) -> None:
@@ -71,6 +74,16 @@
         decode_settings(document)
 
 
+def test_quotas_are_off_unless_a_window_is_set() -> None:
+    """Guard against limits in deployments that did not ask for them."""
+    assert decode_settings(SETTINGS).bounds.quotas is None
+    document = copy.deepcopy(SETTINGS)
+    document["Bounds"] |= {"QuotaWindowS": 5, "QuotaOverage": 0.1, "QuotaSlack": 20}
+    quotas = decode_settings(document).bounds.quotas
+    assert quotas is not None
+    assert quotas.excess(10.0, 10.0) == 26.0
+
+
 def test_error_names_the_unreadable_settings_file(tmp_path) -> None:
     """Guard against a traceback instead of an error that names the file."""
     path = tmp_path / "settings.toml"
