Grant half of an unknown bucket, and no reserve from it at first

After a restart of all processes a bucket had 0.3 of its depth, of which 0.25 was reserve, so that nearly all new programs were refused: 0.002 to 0.012 of the requests at 0.9 of the limits.

--- a/lentilroad/membership/quota_bucket.py
+++ b/lentilroad/membership/quota_bucket.py
@@ -34,6 +34,8 @@
 
     Attributes
     ----------
+    began_s : float
+        Monotonic time at which the bucket was created.
     share : float
         Part of the limit that belongs to the entries that report.
     level : float
@@ -56,6 +58,7 @@
     version: int
     rate_per_s: float
     burst: float
+    began_s: float
     updated_s: float
     used_s: float
     share: float
@@ -178,7 +181,10 @@
 
         Requests of new programs leave a reserve to programs under way.
         """
-        reserve = self.bounds.reserve(self.rate_per_s, self.burst) * self.share
+        # A new bucket may be filled in part only, which would all be reserve.
+        known_share = min(1.0, (now_s - self.began_s) / self.bounds.window_s)
+        reserve = self.bounds.reserve(self.rate_per_s, self.burst)
+        reserve *= self.share * known_share
         waiting = item.waiting - item.waiting_under_way
         under_way = min(item.waiting_under_way, self._available(self._left_under_way()))
         left = self.level - under_way - reserve
--- a/lentilroad/membership/quotas.py
+++ b/lentilroad/membership/quotas.py
@@ -40,7 +40,7 @@
 REFRESH_INTERVAL_S = 0.1
 # Part of its bucket that a new entry may use at once although nobody can tell what was
 # used before. The rest of the excess and the time of its start cover it.
-MIN_KNOWN_SHARE = 0.3
+MIN_KNOWN_SHARE = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -289,6 +289,7 @@
                 version=item.version,
                 rate_per_s=item.rate_per_s,
                 burst=item.burst,
+                began_s=now_s,
                 updated_s=now_s,
                 used_s=now_s,
                 share=self._present_share,
--- a/tests/request/test_quota.py
+++ b/tests/request/test_quota.py
@@ -196,6 +196,7 @@
         _restart_coordinator,
         _cut_entries_from_one,
         _restart_entries,
+        _restart_everything,
     ],
 )
 def test_below_the_limit_hardly_anything_is_refused(script: Script | None) -> None:
