--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from lentilroad.errors import ConfigurationError
+from lentilroad.membership.quota_bounds import QuotaBounds
 
 SETTINGS_VARIABLE = "LENTILROAD_BOOT"
 
@@ -21,6 +23,8 @@
     revoke_s : float or None
         Age of the configuration from which an entry accepts no keys, because a newer
         version may have taken them away; None for no limit.
+    quotas : QuotaBounds or None
+        Allowed excess over customers' quotas; None if quotas are not enforced.
     """
 
     drain_s: float
@@ -29,6 +33,7 @@
     catch_up_s: float
     event_pass_s: float
     revoke_s: float | None = None
+    quotas: QuotaBounds | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -149,6 +154,7 @@
             catch_up_s=_number({"Bounds": bounds}, "Bounds.CatchUpS"),
             event_pass_s=_number({"Bounds": bounds}, "Bounds.PassMs") / 1000,
             revoke_s=_revoke_s(bounds),
+            quotas=_quota_bounds(bounds),
         ),
     )
 
@@ -162,6 +168,24 @@
     return _number({"Bounds": bounds}, "Bounds.RevokeMs") / 1000
 
 
+def _quota_bounds(bounds: dict[str, Any]) -> QuotaBounds | None:
+    """Return the allowed excess over quotas; None without a window or with 0."""
+    values = {
+        key: _number({"Bounds": bounds}, f"Bounds.{key}") if key in bounds else 0.0
+        for key in ("QuotaWindowS", "QuotaOverage", "QuotaSlack")
+    }
+    for key, value in values.items():
+        if not math.isfinite(value) or value < 0.0:
+            raise _invalid_setting(f"Bounds.{key}", value, "a number from 0 on")
+    if values["QuotaWindowS"] == 0.0:
+        return None
+    return QuotaBounds(
+        window_s=values["QuotaWindowS"],
+        overage=values["QuotaOverage"],
+        slack=values["QuotaSlack"],
+    )
+
+
 def _find(document: dict[str, Any], path: str) -> Any:
     found: Any = document
     for key in path.split("."):
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -37,6 +37,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import BufferedResponse, Exchange, read_response
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
+from lentilroad.request.quota import QuotaClient
 from lentilroad.request.refusals import (
     StoppingError,
     refusal_status,
@@ -121,9 +122,11 @@
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
         suspects: CrashSuspects,
+        quotas: QuotaClient | None = None,
         keys_confirmed: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
+        self._quotas = quotas
         self._keys_confirmed = keys_confirmed
         self._decode = decode
         self._protocol = protocol
@@ -202,6 +205,7 @@
                 open_to_all=exchange.route.open_to_all,
                 keys_confirmed=self._keys_confirmed,
             )
+            await self._admit(exchange)
             inbound.body = await read_body(
                 request,
                 table.limits.max_body_bytes,
@@ -236,6 +240,25 @@
             )
             self._telemetry.count("callers_left")
             raise
+        finally:
+            self._give_back_quota(exchange)
+
+    async def _admit(self, exchange: Exchange) -> None:
+        """Count the request against its customer's quota."""
+        customer = exchange.inbound.customer
+        if self._quotas is None or customer is None or not customer.is_limited():
+            return
+        under_way = bool(exchange.inbound.previous_turn_id)
+        await self._quotas.admit(customer, under_way=under_way)
+        exchange.within_quota = True
+
+    def _give_back_quota(self, exchange: Exchange | None) -> None:
+        """Take back the count of a request that no instance can have run."""
+        if exchange is None or not exchange.within_quota or exchange.possible_runs:
+            return
+        customer = exchange.inbound.customer
+        if self._quotas is not None and customer is not None:
+            self._quotas.give_back(customer)
 
     def _route(
         self,
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -99,6 +99,7 @@
         on_rate_limit=permits.report,
         suspects=suspects,
         keys_confirmed=fields.get("keys_confirmed", lambda: True),
+        quotas=fields.get("quotas"),
     )
     runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
     host, port = runner.addresses[0][:2]
