Share the slots of engines among entries that compete for them

Each entry counted all slots of a service as its own, so that work waited inside the engines, in order of arrival, and the entries' ordered queues stayed empty.

Entries report their requests in flight and waiting to one storage member per service, which returns how many requests each may have in flight. Only for services of engines while the configuration has customers.

--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -42,6 +42,7 @@
     REPORT_CRASH,
     SHARE_SUSPECTS,
 )
+from lentilroad.membership.load_reports import REPORT_LOAD
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS
 from lentilroad.process.events import log_event
 from lentilroad.wire.services import Method
@@ -59,6 +60,7 @@
         PUT_TURNS,
         READ_CHAIN,
         REPORT_CRASH,
+        REPORT_LOAD,
         RESERVE,
         SHARE_SUSPECTS,
     )
--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -76,6 +76,9 @@
     ----------
     in_flight : int
         Requests of this process to the instance that have not ended.
+    own_limit : int or None
+        Requests that this process may have in flight, where entries share the slots;
+        None for as many as the instance has slots.
     failures : int
         Consecutive exclusions since the last successful request.
     failure_share : float
@@ -108,6 +111,7 @@
     instance: UpstreamInstance
     pool: HttpPool
     in_flight: int = 0
+    own_limit: int | None = None
     failures: int = 0
     excluded_until_s: float = 0.0
     suspected_until_s: float = 0.0
@@ -140,6 +144,11 @@
             and self.excluded_until_s <= now_s
         )
 
+    def is_full(self) -> bool:
+        """Return whether this process may send no further request."""
+        limit = self.instance.slots if self.own_limit is None else self.own_limit
+        return self.in_flight >= limit
+
     def leaves(self) -> bool:
         """Return whether the instance leaves, as stated by itself or by the list."""
         return self.instance.draining or self.leaving_since_s is not None
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -47,6 +47,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
+from lentilroad.request.shared_load import SharedLoad
 
 SWEEP_INTERVAL_S = 0.25
 # After a start, requests wait until the process has read the configuration, the list of
@@ -89,12 +90,24 @@
         own_address=own_address,
         clock=clock,
     )
+    shared_load = SharedLoad(
+        call=relayed_calls.call,
+        coordinators=lambda service: storage.coordinators(service, ""),
+        other_entries=relayed_calls.entries,
+        competing=lambda service: (
+            state.table is not None and state.table.callers_compete(service)
+        ),
+        directory=directory,
+        own_address=own_address,
+        clock=clock,
+    )
     dispatcher = Dispatcher(
         directory=directory,
         clock=clock,
         availability_zone=settings.availability_zone,
         region_of=lambda zone: settings.zone_regions.get(zone, zone),
         take_permit=permits.take,
+        slot_limits=shared_load,
     )
     suspects = CrashSuspects(
         call=relayed_calls.call,
@@ -146,6 +159,8 @@
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
+    telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
+    telemetry.add_gauge("load_reports", lambda: shared_load.reports)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
@@ -195,6 +210,7 @@
         ),
         relayed_calls.announce_regularly(storage.addresses),
         suspects.synchronize_regularly(),
+        shared_load.report_regularly(dispatcher.own_loads, dispatcher.dispatch_waiting),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -52,6 +52,7 @@
 from lentilroad.membership.list_copy import ListCopy
 from lentilroad.membership.list_exchange import ListExchange
 from lentilroad.membership.list_messages import COMPARE_LISTS, ListItem
+from lentilroad.membership.load_reports import REPORT_LOAD, LoadCoordinator
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS, RateLimitCoordinator
 from lentilroad.platform.configuration import (
     CONFIGURATION_KEY,
@@ -139,6 +140,12 @@
             current_map.member_list, disk_id, instance_id, zone
         ),
     )
+    load_coordinator = LoadCoordinator(
+        clock=clock,
+        position=lambda service: coordinator_position(
+            current_map.member_list, disk_id, service, ""
+        ),
+    )
     crashes = CrashCoordinator(clock=clock)
     address = f"{settings.ip}:{settings.peer_port}"
     joining = StorageMembership(
@@ -203,6 +210,7 @@
             EXTEND_LIFETIMES: lifetimes.receive,
             ANNOUNCE: EntryRegistry(clock=clock).announce,
             ACQUIRE_PERMITS: rate_limits.acquire,
+            REPORT_LOAD: load_coordinator.report,
             REPORT_CRASH: crashes.report,
             ACQUIRE_TRIAL: crashes.acquire_trial,
             END_TRIAL: crashes.end_trial,
@@ -219,6 +227,7 @@
 
     telemetry = Telemetry()
     telemetry.add_gauge("turns_held", lambda: len(replica.turns()))
+    telemetry.add_gauge("coordinated_services", load_coordinator.coordinated_count)
     telemetry.add_gauge("disk_complete", lambda: int(joining.is_complete()))
     telemetry.add_gauge("disk_write_s", journal.pending_write_s)
     telemetry.add_gauge("disk_writable", lambda: int(replica.writable()))
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -31,6 +31,7 @@
 )
 from lentilroad.request.placement_costs import PlacementCosts, prefill_cost_s
 from lentilroad.request.refusals import StoppingError
+from lentilroad.request.service_load import NoSlotLimits, OwnLoad, SlotLimits
 from lentilroad.request.work import PlacementRequest
 
 # Waiting requests, from the front of the queue, that are considered for free slots at
@@ -38,6 +39,9 @@
 MAX_WAITERS_CHECKED = 32
 # The rate at which slots become free is cached, since it changes little in this time.
 RATE_CACHE_S = 0.1
+# Waiting requests that choose among all instances when a request ends while an
+# allowance is in force; a choice takes up to 0.1 ms.
+MAX_CHOICES_PER_RELEASE = 4
 # Timers may fire up to the resolution of the event loop's clock early.
 TIMER_MARGIN_S = 0.002
 
@@ -53,16 +57,49 @@
 
 
 class _Service:
-    """Instances of one service and the requests that wait for a slot."""
+    """Instances of one service and the requests that wait for a slot.
 
-    __slots__ = ("index", "rate_per_s", "rate_until_s", "waiting")
+    ``in_flight`` counts the requests by the id of their instance.
+    """
 
-    def __init__(self, *, index: InstanceIndex) -> None:
+    __slots__ = (
+        "completed",
+        "in_flight",
+        "in_flight_total",
+        "index",
+        "name",
+        "rate_per_s",
+        "rate_until_s",
+        "slots",
+        "waiting",
+    )
+
+    def __init__(self, *, name: str, index: InstanceIndex) -> None:
+        self.name = name
         self.index = index
+        self.in_flight: dict[str, int] = {}
+        self.in_flight_total = 0
+        self.completed = 0
+        self.slots = 0
         self.waiting: SortedDict[_QueueKey, _Waiter] = SortedDict()
         self.rate_per_s = 0.0
         self.rate_until_s = float("-inf")
 
+    def record_sent(self, instance_id: str) -> None:
+        """Count a request that gets a slot."""
+        self.in_flight[instance_id] = self.in_flight.get(instance_id, 0) + 1
+        self.in_flight_total += 1
+
+    def record_ended(self, instance_id: str) -> None:
+        """Count a request that releases its slot."""
+        self.completed += 1
+        self.in_flight_total -= 1
+        count = self.in_flight[instance_id] - 1
+        if count:
+            self.in_flight[instance_id] = count
+        else:
+            del self.in_flight[instance_id]
+
 
 class Dispatcher:
     """Assigns requests to slots of instances and queues those that have to wait.
@@ -87,6 +124,8 @@
     take_permit : callable
         Takes a permit for one request to a rate-limited instance; returns False and
         pauses the instance if there is none.
+    slot_limits : SlotLimits, optional
+        Limits of the requests in flight where entries share the slots of a service.
     """
 
     def __init__(
@@ -98,6 +137,7 @@
         region_of: Callable[[str], str],
         take_permit: Callable[[UpstreamState], Awaitable[bool]],
         random_share: Callable[[], float] = random.random,
+        slot_limits: SlotLimits | None = None,
     ) -> None:
         self._directory = directory
         self._clock = clock
@@ -113,6 +153,7 @@
         self._arrival_numbers = itertools.count()
         self._random_share = random_share
         self._take_permit = take_permit
+        self._slot_limits = slot_limits or NoSlotLimits()
         # Monotonic time by which all requests are answered; infinite until a stop.
         self._stop_by_s = math.inf
         directory.subscribe(self._update_instance)
@@ -157,9 +198,11 @@
         service = self._service(request.service)
         service.index.end_expired_exclusions()
         # Requests in the queue were already offered the slots that are free now.
-        chosen = self._choose(service, request)
-        if chosen is not None:
-            return self._acquire_slot(chosen, request)
+        if self._has_allowance(service):
+            chosen = self._choose(service, request)
+            if chosen is not None:
+                return self._acquire_slot(chosen, request)
+        self._slot_limits.record_held(service.name)
         self._check_capacity(service, request)
         waiter = _Waiter(
             request=request,
@@ -216,22 +259,53 @@
         """Release a slot and offer it to waiting requests."""
         state.in_flight -= 1
         service = self._service(state.instance.service)
+        service.record_ended(state.instance.instance_id)
         service.index.update(state)
-        self._offer_slot(service, state)
+        if self._slot_limits.allowance(service.name) is None:
+            self._offer_slot(service, state)
+        else:
+            # Requests that waited for the allowance may prefer other free instances.
+            self._place_waiting(service, MAX_CHOICES_PER_RELEASE)
 
     def dispatch_waiting(self) -> None:
         """Place waiting requests after instances changed or exclusions expired."""
         self._cached_parts.expire(self._clock.monotonic_s())
         for name, service in self._services.items():
             service.index.end_expired_exclusions()
-            for key, waiter in list(service.waiting.items()[:MAX_WAITERS_CHECKED]):
-                if not service.index.has_free_slot():
-                    break
-                chosen = self._choose(service, waiter.request)
-                if chosen is not None:
-                    self._grant(service, key, waiter, chosen)
+            self._place_waiting(service, MAX_WAITERS_CHECKED)
             self._refuse_late_waiters(service, name)
 
+    def _place_waiting(self, service: _Service, max_choices: int) -> None:
+        """Place the first waiting requests on free instances, in order."""
+        for key, waiter in list(service.waiting.items()[:max_choices]):
+            if not service.index.has_free_slot() or not self._has_allowance(service):
+                return
+            chosen = self._choose(service, waiter.request)
+            if chosen is not None:
+                self._grant(service, key, waiter, chosen)
+
+    def _has_allowance(self, service: _Service) -> bool:
+        """Return whether another request of this entry may be in flight."""
+        allowance = self._slot_limits.allowance(service.name)
+        return allowance is None or service.in_flight_total < allowance
+
+    def own_loads(self, selected: Callable[[str], bool]) -> dict[str, OwnLoad]:
+        """Return the load of the selected services that are known."""
+        loads = {}
+        for name, service in self._services.items():
+            if not selected(name):
+                continue
+            under_way = sum(w.request.under_way for w in service.waiting.values())
+            self._rate_per_s(service, name)
+            loads[name] = OwnLoad(
+                in_flight=dict(service.in_flight),
+                waiting_under_way=under_way,
+                waiting_new=len(service.waiting) - under_way,
+                completed=service.completed,
+                slots=service.slots,
+            )
+        return loads
+
     def _dispatch_at(self, time_s: float) -> None:
         delay_s = time_s - self._clock.monotonic_s() + TIMER_MARGIN_S
         asyncio.get_running_loop().call_later(delay_s, self.dispatch_waiting)
@@ -277,7 +351,7 @@
         found = self._services.get(name)
         if found is None:
             index = InstanceIndex(clock=self._clock, random_share=self._random_share)
-            found = self._services[name] = _Service(index=index)
+            found = self._services[name] = _Service(name=name, index=index)
         return found
 
     def _update_instance(self, state: UpstreamState) -> None:
@@ -294,7 +368,7 @@
         best: UpstreamState | None = None
         best_cost_s = float("inf")
         for state in self._cached_candidates(service, request, affinity_instance):
-            if state.in_flight >= state.instance.slots:
+            if state.is_full():
                 continue
             cost_s = self._costs.total_s(state, request, affinity_instance)
             if cost_s < best_cost_s:
@@ -364,7 +438,7 @@
         full += (
             state
             for state in self._cached_candidates(service, request, affinity_instance)
-            if state.in_flight >= state.instance.slots
+            if state.is_full()
             and self._costs.is_nearby(state.instance.availability_zone)
         )
         return min(
@@ -398,10 +472,12 @@
         self, state: UpstreamState, request: PlacementRequest
     ) -> UpstreamState:
         state.in_flight += 1
+        service = self._service(request.service)
+        service.record_sent(state.instance.instance_id)
         self._cached_parts.record(
             state, request.prompt_parts, self._clock.monotonic_s()
         )
-        self._service(request.service).index.update(state)
+        service.index.update(state)
         return state
 
     def _offer_slot(self, service: _Service, state: UpstreamState) -> None:
@@ -414,7 +490,7 @@
             return
         nearby_cost_s = self._costs.min_nearby_s(service.index) + AFFINITY_BONUS_S
         for key, waiter in list(service.waiting.items()[:MAX_WAITERS_CHECKED]):
-            if state.in_flight >= state.instance.slots:
+            if state.is_full():
                 return
             request = waiter.request
             if instance_id in request.excluded:
@@ -480,12 +556,13 @@
         now_s = self._clock.monotonic_s()
         if service.rate_until_s <= now_s:
             service.rate_until_s = now_s + RATE_CACHE_S
-            service.rate_per_s = sum(
-                state.expected_rate_per_s()
-                for state in self._directory.instances(name)
-                if state.usable(now_s)
-            )
-        return service.rate_per_s
+            usable = [s for s in self._directory.instances(name) if s.usable(now_s)]
+            service.rate_per_s = sum(state.expected_rate_per_s() for state in usable)
+            service.slots = sum(state.instance.slots for state in usable)
+        allowance = self._slot_limits.allowance(name)
+        if allowance is None or allowance >= service.slots:
+            return service.rate_per_s
+        return service.rate_per_s * allowance / service.slots
 
     def _paused_for_s(self, service: _Service) -> float | None:
         """Return the time until a permit is expected, if all instances are paused."""
--- a/lentilroad/request/instance_index.py
+++ b/lentilroad/request/instance_index.py
@@ -101,7 +101,7 @@
             return
         cost_s = base_cost_s(state)
         positions = zone.free
-        if state.in_flight >= state.instance.slots:
+        if state.is_full():
             positions = zone.full
             cost_s += slot_wait_s(state)
         position = (cost_s, self._tie_breakers[instance_id], instance_id)
--- a/lentilroad/request/service_load.py
+++ b/lentilroad/request/service_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -34,3 +35,55 @@
     completed_per_s: float
     entries: int
     measured_at_s: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OwnLoad:
+    """Load of one service at this entry.
+
+    Attributes
+    ----------
+    in_flight : dict of str to int
+        Requests in flight by the id of the instance; instances without any are absent.
+    waiting_under_way, waiting_new : int
+        Waiting requests; see `ServiceLoad`.
+    completed : int
+        Requests that ended since the start of this process.
+    slots : int
+        Slots of the usable instances.
+    """
+
+    in_flight: dict[str, int]
+    waiting_under_way: int
+    waiting_new: int
+    completed: int
+    slots: int
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in flight or waits."""
+        return not (self.in_flight or self.waiting_under_way or self.waiting_new)
+
+
+class SlotLimits(Protocol):
+    """Limits of the requests that this entry may have in flight at services."""
+
+    def allowance(self, service: str) -> int | None:
+        """Return how many requests may be in flight, or None for no limit."""
+        ...
+
+    def record_held(self, service: str) -> None:
+        """Record that a request has to wait."""
+        ...
+
+
+class NoSlotLimits:
+    """No limit, for services whose callers do not compete."""
+
+    __slots__ = ()
+
+    def allowance(self, service: str) -> int | None:
+        """Return None."""
+        return None
+
+    def record_held(self, service: str) -> None:
+        """Do nothing."""
--- a/lentilroad/version/routes.py
+++ b/lentilroad/version/routes.py
@@ -142,6 +142,13 @@
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
 
+    def callers_compete(self, service: str) -> bool:
+        """Return whether customers compete for the engines of a service."""
+        if self.customers is None:
+            return False
+        found = self.services.get(service)
+        return found is not None and found.engine is not None
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix that begins `path`."""
         routes = self._by_host.get(host)
