Let entries choose among twice the free slots that they may use

An entry gets a random part of the free slots at each instance, which may be far away or excluded for its requests; slots stayed free while requests waited. Its allowance still bounds the sum.

--- a/lentilroad/request/shared_load.py
+++ b/lentilroad/request/shared_load.py
@@ -47,6 +47,9 @@
 # A request that waits for an allowance although slots are free is reported at once, but
 # not earlier than this after the report before.
 MIN_REPORT_GAP_S = 0.02
+# Slots at single instances that an entry may choose among, for each request of its
+# allowance: the free slots nearby may not suffice, while others are too far.
+CHOICE_FACTOR = 2.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -334,7 +337,7 @@
         """Set this entry's limit at each instance of a service."""
         free = SLOT_FACTOR * reply.slots - reply.in_flight
         wanted = allowance - sum(own.in_flight.values())
-        free_share = min(1.0, max(0.0, wanted / max(1.0, free)))
+        free_share = min(1.0, CHOICE_FACTOR * max(0.0, wanted / max(1.0, free)))
         for state in self._directory.instances(reply.service):
             instance_id = state.instance.instance_id
             in_flight = own.in_flight.get(instance_id, 0)
