Divide a part of the slots in use anew with each report

An entry kept all slots that it used when the service became full: its own first requests took them again, so that entries with little work waited for 0.2 s beside entries with much, and new programs were not served evenly. A fifth of the requests in flight, about as many as end between two reports, is now divided by max-min fairness with the waiting ones. An entry below its equal part reports a wait at once.

A coordinator that has just started divides only the part of the entries that have reported: its sums miss the others, and its promises sent 25 requests to one engine.

--- a/lentilroad/membership/slot_shares.py
+++ b/lentilroad/membership/slot_shares.py
@@ -17,6 +17,9 @@
 # arrive in bursts at few entries at a time, so that the unused slots can be promised to
 # several entries at once.
 UNUSED_SHARE = 0.5
+# Part of its slots in use that an entry keeps over a report. The others become free in
+# that time and are divided anew; otherwise an entry that came first would keep all.
+KEPT_SHARE = 0.8
 # Every entry may have this many requests in flight.
 MIN_ALLOWANCE = 1
 REPORT_INTERVAL_S = 0.1
@@ -94,11 +97,11 @@
 ) -> dict[str, int]:
     """Return how many requests each entry may have in flight.
 
-    Requests in flight and those of programs under way come first. If they exceed the
-    capacity, each entry gets a part in proportion to them, so that such requests wait
-    equally long at all entries. The rest is divided among first requests by max-min
-    fairness, so that many new programs at one entry do not displace those of others.
-    What remains unused is promised on top of the demand.
+    Most of the requests in flight and those of programs under way come first. If they
+    exceed the capacity, each entry gets a part in proportion to them, so that such
+    requests wait equally long at all entries. The rest is divided among the other
+    requests by max-min fairness, so that many new programs at one entry do not displace
+    those of others. What remains unused is promised on top of the demand.
 
     Parameters
     ----------
@@ -110,15 +113,15 @@
         Share of the unused part that each entry gets on top of its demand.
     """
     claims = {
-        entry: demand.in_flight + demand.waiting_under_way
+        entry: math.ceil(KEPT_SHARE * demand.in_flight) + demand.waiting_under_way
         for entry, demand in demands.items()
     }
     claimed = sum(claims.values())
     if claimed >= capacity:
         shares = _proportional(claims, capacity)
         return {entry: max(MIN_ALLOWANCE, share) for entry, share in shares.items()}
-    new = {entry: demand.waiting_new for entry, demand in demands.items()}
-    filled = _max_min(new, capacity - claimed)
+    others = {e: demand.total() - claims[e] for e, demand in demands.items()}
+    filled = _max_min(others, capacity - claimed)
     unused = capacity - claimed - sum(filled.values())
     headroom = math.ceil(unused * unused_share)
     return {
@@ -197,6 +200,7 @@
     """Latest reports of all entries about one service."""
 
     _reports: dict[str, _EntryReport] = field(default_factory=dict)
+    _started_s: float | None = None
     _completions: float = 0.0
     _completions_at_s: float = 0.0
 
@@ -230,6 +234,8 @@
             Whether this process is the first coordinator of the service. Another one
             divides only the part of its entries, since the first may serve the rest.
         """
+        if self._started_s is None:
+            self._started_s = now_s
         known = self._reports.get(entry)
         # Numbers are taken from the clock of the entry, so that a restarted entry
         # continues above its former numbers.
@@ -267,10 +273,11 @@
             len(self._reports), *(r.known_entries for r in recent.values())
         )
         capacity = math.ceil(SLOT_FACTOR * slots)
-        if not first:
+        # Entries that have not reported since the start of this process, or that report
+        # to another coordinator, use their part of the slots as well.
+        started = self._started_s is None or now_s - self._started_s > REPORT_EXPIRY_S
+        if not first or not started:
             capacity = math.ceil(capacity * len(self._reports) / known_entries)
-        # After a start, or beside another coordinator, unused slots may be in use by
-        # entries that have not reported here.
         complete = len(self._reports) >= known_entries
         demands = {name: report.demand for name, report in recent.items()}
         allowances = divide_slots(
--- a/lentilroad/request/service_load.py
+++ b/lentilroad/request/service_load.py
@@ -59,9 +59,14 @@
     completed: int
     slots: int
 
+    def total(self) -> int:
+        """Return all requests, in flight or waiting."""
+        in_flight = sum(self.in_flight.values())
+        return in_flight + self.waiting_under_way + self.waiting_new
+
     def is_idle(self) -> bool:
         """Return whether no request is in flight or waits."""
-        return not (self.in_flight or self.waiting_under_way or self.waiting_new)
+        return self.total() == 0
 
 
 class SlotLimits(Protocol):
--- a/lentilroad/request/shared_load.py
+++ b/lentilroad/request/shared_load.py
@@ -58,6 +58,8 @@
 
     Attributes
     ----------
+    own_demand : int
+        Requests of this entry, in flight or waiting, at its last report.
     expires_s : float
         Monotonic time until which the allowance is valid.
     """
@@ -65,14 +67,16 @@
     load: ServiceLoad
     allowance: int
     interval_s: float
+    own_demand: int
     expires_s: float
     expired: bool = False
 
-    def has_unused(self) -> bool:
-        """Return whether the entries together asked for less than there is."""
+    def may_grow(self) -> bool:
+        """Return whether a report of more demand leads to a larger allowance soon."""
         load = self.load
+        capacity = SLOT_FACTOR * load.slots
         demand = load.in_flight + load.waiting_under_way + load.waiting_new
-        return demand < SLOT_FACTOR * load.slots
+        return demand < capacity or self.own_demand < capacity / max(1, load.entries)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -149,9 +153,9 @@
         return self._local_share(view)
 
     def record_held(self, service: str) -> None:
-        """Report soon, since a request waits although slots may be free."""
+        """Report soon, since a request waits although it may be entitled to a slot."""
         view = self._views.get(service)
-        if view is not None and view.has_unused():
+        if view is not None and view.may_grow():
             self._held.set()
 
     def load(self, service: str) -> ServiceLoad | None:
@@ -326,6 +330,7 @@
             ),
             allowance=allowance,
             interval_s=max(REPORT_INTERVAL_S, reply.interval_s),
+            own_demand=own.total(),
             expires_s=now_s
             + max(ALLOWANCE_EXPIRY_S, ALLOWANCE_EXPIRY_INTERVALS * reply.interval_s),
         )
