Use distant slots while requests wait and slots are unused

A request preferred to wait for a full instance of its region, also when others waited for the same slots, and the slots of other regions stayed free after a burst. It now takes a distant slot if others wait and the entries together ask for less than there is.

--- a/lentilroad/membership/slot_shares.py
+++ b/lentilroad/membership/slot_shares.py
@@ -10,6 +10,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+# Least part of the capacity that another coordinator than the first divides. Most of
+# the entries that do not report to it may have been killed together with the first.
+MIN_OTHER_PART = 0.5
 # Requests in flight per slot that all entries together may have. The excess waits in
 # the instances, so that a slot that becomes free is used before the next report.
 SLOT_FACTOR = 1.2
@@ -275,9 +278,11 @@
         capacity = math.ceil(SLOT_FACTOR * slots)
         # Entries that have not reported since the start of this process, or that report
         # to another coordinator, use their part of the slots as well.
-        started = self._started_s is None or now_s - self._started_s > REPORT_EXPIRY_S
-        if not first or not started:
-            capacity = math.ceil(capacity * len(self._reports) / known_entries)
+        reporting_part = len(self._reports) / known_entries
+        if self._started_s is None or now_s - self._started_s <= REPORT_EXPIRY_S:
+            capacity = math.ceil(capacity * reporting_part)
+        elif not first:
+            capacity = math.ceil(capacity * max(MIN_OTHER_PART, reporting_part))
         complete = len(self._reports) >= known_entries
         demands = {name: report.demand for name, report in recent.items()}
         allowances = divide_slots(
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -160,6 +160,7 @@
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
     telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
+    telemetry.add_gauge("waiting_requests", dispatcher.waiting_total)
     telemetry.add_gauge("load_reports", lambda: shared_load.reports)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -42,6 +42,9 @@
 # Waiting requests that choose among all instances when a request ends while an
 # allowance is in force; a choice takes up to 0.1 ms.
 MAX_CHOICES_PER_RELEASE = 4
+# Waiting requests that a report counts by class; the others, which are ranked last,
+# count as new.
+MAX_WAITERS_COUNTED = 1000
 # Timers may fire up to the resolution of the event loop's clock early.
 TIMER_MARGIN_S = 0.002
 
@@ -295,7 +298,8 @@
         for name, service in self._services.items():
             if not selected(name):
                 continue
-            under_way = sum(w.request.under_way for w in service.waiting.values())
+            first = itertools.islice(service.waiting.values(), MAX_WAITERS_COUNTED)
+            under_way = sum(waiter.request.under_way for waiter in first)
             self._rate_per_s(service, name)
             loads[name] = OwnLoad(
                 in_flight=dict(service.in_flight),
@@ -336,6 +340,10 @@
         """Return the number of requests that wait for a service."""
         return len(self._service(service).waiting)
 
+    def waiting_total(self) -> int:
+        """Return the number of requests that wait, for all services."""
+        return sum(len(service.waiting) for service in self._services.values())
+
     def retry_after_ms(self, service: str) -> int:
         """Return after which time a refused caller should send the request again."""
         found = self._service(service)
@@ -384,6 +392,10 @@
                     best, best_cost_s = state, cost_s
         if best is None or best_cost_s <= self._costs.min_nearby_s(service.index):
             return best
+        if service.waiting and self._slot_limits.has_unused(service.name):
+            # The next slots nearby go to the requests that wait already, also at other
+            # entries. While all slots are used, more distant ones cost others more.
+            return best
         if best_cost_s > self._nearby_cost_s(service, request, affinity_instance):
             return None
         return best
--- a/lentilroad/request/service_load.py
+++ b/lentilroad/request/service_load.py
@@ -76,6 +76,10 @@
         """Return how many requests may be in flight, or None for no limit."""
         ...
 
+    def has_unused(self, service: str) -> bool:
+        """Return whether all entries together ask for less than there is."""
+        ...
+
     def record_held(self, service: str) -> None:
         """Record that a request has to wait."""
         ...
@@ -90,5 +94,9 @@
         """Return None."""
         return None
 
+    def has_unused(self, service: str) -> bool:
+        """Return False: nothing is known of the other entries."""
+        return False
+
     def record_held(self, service: str) -> None:
         """Do nothing."""
--- a/lentilroad/request/shared_load.py
+++ b/lentilroad/request/shared_load.py
@@ -71,12 +71,16 @@
     expires_s: float
     expired: bool = False
 
-    def may_grow(self) -> bool:
-        """Return whether a report of more demand leads to a larger allowance soon."""
+    def has_unused(self) -> bool:
+        """Return whether the entries together asked for less than there is."""
         load = self.load
-        capacity = SLOT_FACTOR * load.slots
         demand = load.in_flight + load.waiting_under_way + load.waiting_new
-        return demand < capacity or self.own_demand < capacity / max(1, load.entries)
+        return demand < SLOT_FACTOR * load.slots
+
+    def may_grow(self) -> bool:
+        """Return whether a report of more demand leads to a larger allowance soon."""
+        equal_part = SLOT_FACTOR * self.load.slots / max(1, self.load.entries)
+        return self.has_unused() or self.own_demand < equal_part
 
 
 @dataclass(slots=True, kw_only=True)
@@ -152,6 +156,13 @@
             return view.allowance
         return self._local_share(view)
 
+    def has_unused(self, service: str) -> bool:
+        """Return whether all entries together ask for less than there is."""
+        view = self._views.get(service)
+        if view is None or view.expired or not self._competing(service):
+            return False
+        return view.has_unused()
+
     def record_held(self, service: str) -> None:
         """Report soon, since a request waits although it may be entitled to a slot."""
         view = self._views.get(service)
