--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -48,6 +48,7 @@
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
 from lentilroad.request.quota import QuotaClient
+from lentilroad.request.shared_load import SharedLoad
 from lentilroad.version.customers import Customer
 
 SWEEP_INTERVAL_S = 0.25
@@ -113,12 +114,24 @@
         bounds=settings.bounds.quotas,
         count=lambda name, customer: telemetry.count(name, customer=customer),
     )
+    shared_load = SharedLoad(
+        call=relayed_calls.call,
+        coordinators=lambda service: storage.coordinators(service, ""),
+        other_entries=relayed_calls.entries,
+        competing=lambda service: (
+            state.table is not None and state.table.callers_compete(service)
+        ),
+        directory=directory,
+        own_address=own_address,
+        clock=clock,
+    )
     dispatcher = Dispatcher(
         directory=directory,
         clock=clock,
         availability_zone=settings.availability_zone,
         region_of=lambda zone: settings.zone_regions.get(zone, zone),
         take_permit=permits.take,
+        slot_limits=shared_load,
     )
     suspects = CrashSuspects(
         call=relayed_calls.call,
@@ -175,6 +188,9 @@
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
     telemetry.add_gauge("slow_upstreams", directory.slow_count)
+    telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
+    telemetry.add_gauge("waiting_requests", dispatcher.waiting_total)
+    telemetry.add_gauge("load_reports", lambda: shared_load.reports)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
@@ -226,6 +242,7 @@
         relayed_calls.announce_regularly(storage.addresses),
         suspects.synchronize_regularly(),
         quotas.report_regularly(),
+        shared_load.report_regularly(dispatcher.own_loads, dispatcher.dispatch_waiting),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
