Withhold reserved headers that are spelled with underscores

A caller's Lentilroad_Tenant was forwarded, and servers that map header names to variables read it as Lentilroad-Tenant, so that a caller could forge a customer on routes open to all. Compare names with hyphens in place of underscores.

--- a/lentilroad/platform/requests.py
+++ b/lentilroad/platform/requests.py
@@ -111,8 +111,9 @@
             (name, value)
             for name, value in headers
             if (lower := name.lower()) not in _HOP_BY_HOP_HEADERS
-            and lower not in _RESERVED_HEADERS
-            and lower not in withheld
+            # Some servers read an underscore in a name as a hyphen.
+            and (hyphened := lower.replace(b"_", b"-")) not in _RESERVED_HEADERS
+            and hyphened not in withheld
             and lower not in connection_options
         ],
         credential=(
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -165,6 +165,7 @@
             (b"Authorization", b"Bearer k1"),
             (b"lentilroad-TENANT", b"forged"),
             (b"Lentilroad-Tenant", b"forged"),
+            (b"Lentilroad_Tenant", b"forged"),
         ],
         with_customers=with_customers,
     )
