Require a key for paths that may leave an open route

Routes are found by the path as sent. A server that resolves dot segments serves /open/../keyed/x as /keyed/x, so that a route open to all gave access to a keyed one. Such a path on an open route now needs a key in force.

--- a/lentilroad/request/authentication.py
+++ b/lentilroad/request/authentication.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from lentilroad.errors import UnauthenticatedError, UnavailableError
@@ -9,6 +10,12 @@
 from lentilroad.request.inbound import InboundRequest
 from lentilroad.version.routes import RouteTable
 
+# Path segments "." and "..", also percent-encoded. Routes are found by the path as
+# sent; a server that resolves such segments may leave the prefix of the route.
+_DOT_SEGMENT = re.compile(
+    r"(?:/|\\|%2f|%5c)(?:\.|%2e){1,2}(?:[/\\;#]|%2f|%5c|$)", re.IGNORECASE
+)
+
 
 def identify_customer(
     inbound: InboundRequest,
@@ -29,8 +36,9 @@
     table : RouteTable
         Configuration in force.
     open_to_all : bool
-        Whether the route's requests need no key. One that carries a valid key belongs
-        to the key's customer all the same.
+        Whether the route's requests need no key, except those with "." or ".." in
+        their path. One that carries a valid key belongs to the key's customer all the
+        same.
     keys_confirmed : callable
         Returns whether the configuration is recent enough to accept keys.
 
@@ -45,6 +53,8 @@
     if table.customers is None:
         return
     key, inbound.key = inbound.key, ""
+    if open_to_all and _DOT_SEGMENT.search(inbound.target.partition("?")[0]):
+        open_to_all = False
     customer = table.customers.find(key) if key else None
     if not open_to_all and not key:
         raise UnauthenticatedError(
--- a/tests/request/test_customers.py
+++ b/tests/request/test_customers.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, nullcontext
+from functools import partial
 from types import SimpleNamespace
 
 import eliot
 import pytest
 
-from lentilroad.errors import RateLimitedError
+from lentilroad.errors import RateLimitedError, UnauthenticatedError
+from lentilroad.request.authentication import identify_customer
 from lentilroad.request.fingerprints import request_fingerprint
 from lentilroad.request.inbound import InboundRequest
 from lentilroad.request.refusals import refusal_status
@@ -153,11 +155,11 @@
     assert "unknown" not in logged
 
 
-def _inbound(**fields) -> InboundRequest:
+def _inbound(*, target: str = "/", **fields) -> InboundRequest:
     return InboundRequest(
         request_id="r",
         method="GET",
-        target="/",
+        target=target,
         host="h",
         forwarded_headers=[],
         body=b"x",
@@ -165,6 +167,33 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("target", "needs_key"),
+    [
+        ("/open/../keyed/x", True),
+        ("/open/%2E./keyed/x?a=b", True),
+        ("/open/a%2f..%5Ckeyed/x", True),
+        ("/open/..", True),
+        ("/open/.well-known/a..b/...?x=/../", False),
+    ],
+)
+def test_path_that_leaves_an_open_route_needs_a_key(
+    target: str, *, needs_key: bool
+) -> None:
+    """Guard against a server that resolves the path to one that needs a key."""
+    identify = partial(
+        identify_customer,
+        table=_table(),
+        open_to_all=True,
+        keys_confirmed=lambda: True,
+    )
+    with pytest.raises(UnauthenticatedError) if needs_key else nullcontext():
+        identify(_inbound(target=target))
+    known = _inbound(target=target, key="key-a1")
+    identify(known)
+    assert known.customer == Customer(name="a")
+
+
 def test_ban_belongs_to_a_customer_and_not_to_a_key() -> None:
     """Guard against a customer that bans another one, or evades a ban by a new key."""
     old = Customer(name="a", rate_per_s=1.0)
