Bound how much faster than the mean an instance is taken for

Only the slower side was bounded, against the comment at MAX_RATIO: a ratio could fall to 0, by which the next stream's change for the log was divided, and the exception would have broken off the stream. A mean of no time is no divisor either. A chunk counts as at most 32 gaps, so that its cost does not grow with its events.

--- a/lentilroad/membership/stream_times.py
+++ b/lentilroad/membership/stream_times.py
@@ -29,6 +29,9 @@
 KNOWLEDGE_HALF_LIFE_S = 10.0
 # Bound on how much slower or faster than the mean an instance is taken for.
 MAX_RATIO = 8.0
+# Samples of one chunk that count; so many replace 98 % of a mean. A chunk may hold
+# thousands of events.
+MAX_GAPS_PER_CHUNK = 32
 # Cost of a further concurrent request to an instance without a complete stream, as a
 # share of the service's mean stream time.
 UNPROVEN_COST_SHARE = 0.5
@@ -101,7 +104,7 @@
         """Record that `count` events arrived `elapsed_s` after the previous one."""
         times.updated_at_s = self._clock.monotonic_s()
         gap_s = elapsed_s / count
-        for _ in range(count):
+        for _ in range(min(count, MAX_GAPS_PER_CHUNK)):
             weight = max(GAP_WEIGHT, times.gap_weight)
             times.event_gap_s = _mix(times.event_gap_s, gap_s, weight)
             times.gap_weight *= 1.0 - weight
@@ -127,8 +130,12 @@
             or times.event_gap_s == 0.0
         ):
             return 1.0
-        ratio = times.stream_s(mean.events) / mean.stream_s(mean.events)
-        return 1.0 + (min(MAX_RATIO, ratio) - 1.0) * self._certainty(times)
+        mean_stream_s = mean.stream_s(mean.events)
+        if mean_stream_s == 0.0:
+            return 1.0
+        ratio = times.stream_s(mean.events) / mean_stream_s
+        ratio = max(1.0 / MAX_RATIO, min(MAX_RATIO, ratio))
+        return 1.0 + (ratio - 1.0) * self._certainty(times)
 
     def cost_s(self, times: StreamTimes, in_flight: int) -> float:
         """Return the cost of an instance by its stream times, 0 for an average one.
