Start an instance's stream times anew when it changes its service

An incarnation that the list moved to another service kept the times of the former one, which were then compared with the mean of the new one.

--- a/lentilroad/membership/upstreams.py
+++ b/lentilroad/membership/upstreams.py
@@ -425,7 +425,8 @@
                 # What the instance stated still holds.
                 state.rate_limit = former.rate_limit
                 state.leaving_since_s = former.leaving_since_s
-                state.stream_times = former.stream_times
+                if former.instance.service == instance.service:
+                    state.stream_times = former.stream_times
             self._by_id[instance.instance_id] = state
             self._by_service.setdefault(instance.service, {})[instance.instance_id] = (
                 state
--- a/tests/membership/test_upstreams.py
+++ b/tests/membership/test_upstreams.py
@@ -197,3 +197,21 @@
     directory.detect_mass_expiry(["i-1", "i-2", "i-3"])
     directory.remove("i-1")
     assert len(directory.instances("svc")) == 3
+
+
+def test_stream_times_follow_an_incarnation_within_its_service() -> None:
+    """Guard against an instance that is compared with another service's mean."""
+    directory = UpstreamDirectory(clock=ManualClock(), learn_speeds=True)
+    directory.update(INSTANCE)
+    state = directory.find("i-1")
+    assert state is not None
+    directory.remove("i-1")
+    directory.update(INSTANCE)
+    returned = directory.find("i-1")
+    assert returned is not None
+    assert returned.stream_times is state.stream_times
+    directory.update(replace(INSTANCE, service="other"))
+    moved = directory.find("i-1")
+    assert moved is not None
+    assert moved.stream_times is not state.stream_times
+    assert moved.service_times is not state.service_times
