Review odd fields of customers without a traceback or a key

A list of keys that is no list, and a number in a text such as "2.0", ended the command with a traceback. A misspelt field such as ApiKey was printed with its keys. A name with a line feed added lines to the output.

--- a/lentilroad/platform/review.py
+++ b/lentilroad/platform/review.py
@@ -18,6 +18,9 @@
 # and its tools would already be refused.
 MIN_USEFUL_RATE_PER_S = 1.0
 
+# Other fields of a customer, such as a misspelt ApiKeys, may hold keys.
+_SHOWN_CUSTOMER_FIELDS = frozenset(("Priority", "RatePerS", "Burst"))
+
 
 class Severity(Enum):
     """Whether a finding should keep the operator from writing the configuration."""
@@ -44,8 +47,12 @@
     text: str
 
     def line(self) -> str:
-        """Return the finding as one line of text."""
-        return f"{self.severity.value}: {self.where}: {self.text}"
+        """Return the finding as one line of text.
+
+        Names in the configuration may contain line feeds and control characters.
+        """
+        line = f"{self.severity.value}: {self.where}: {self.text}"
+        return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in line)
 
 
 def review_configuration(
@@ -177,7 +184,7 @@
                     f"{where}.{field}", f"has no effect on {kind} routes; remove it"
                 )
     repeatable = route.get("AllowResume") if streams else kind == "idempotent"
-    if int(route.get("Attempts", 1)) > 1 and not repeatable:
+    if float(route.get("Attempts", 1)) > 1 and not repeatable:
         yield _warning(
             f"{where}.Attempts",
             "has no effect, since these requests run at most once; write 1",
@@ -296,15 +303,21 @@
         if field == "ApiKeys":
             yield _change(f"{where}.{field}", _key_changes(old, new))
             continue
+        if where.startswith("Tenants[") and field not in _SHOWN_CUSTOMER_FIELDS:
+            yield _change(f"{where}.{field}", "changes; its values may be keys")
+            continue
         yield _change(f"{where}.{field}", f"{_shown(old)} becomes {_shown(new)}")
 
 
 def _key_changes(before: Any, after: Any) -> str:
     """Return how many keys change, without the keys."""
-    old = {str(key) for key in before or []}
-    new = {str(key) for key in after or []}
+    old, new = _key_set(before), _key_set(after)
     return f"{len(new - old)} keys added, {len(old - new)} taken away"
 
 
+def _key_set(keys: Any) -> set[str]:
+    return {str(key) for key in keys} if isinstance(keys, list) else set()
+
+
 def _shown(value: Any) -> str:
     return "nothing" if value is None else msgspec.json.encode(value).decode()
--- a/tests/platform/test_review.py
+++ b/tests/platform/test_review.py
@@ -98,6 +98,47 @@
     assert all("key" not in f.where for f in findings)
 
 
+@pytest.mark.parametrize(
+    ("fields", "where", "text"),
+    [
+        ({"ApiKeys": 7}, "Tenants[one].ApiKeys", "0 keys added, 1 taken away"),
+        (
+            {"ApiKey": ["third-key"]},
+            "Tenants[one].ApiKey",
+            "changes; its values may be keys",
+        ),
+    ],
+)
+def test_odd_fields_of_a_customer_are_compared_without_keys(
+    fields: dict[str, Any], where: str, text: str
+) -> None:
+    """Guard against a traceback, and against keys in a field that is misspelt."""
+    document = {**copy.deepcopy(SOUND), "Version": 8}
+    document["Tenants"][0].update(fields)
+    content, in_force = json.dumps(document).encode(), json.dumps(SOUND).encode()
+    for findings in (
+        review_configuration(content, in_force),
+        review_configuration(content.replace(b": 8,", b": 9,"), content),
+    ):
+        assert not any("-key" in finding.line() for finding in findings)
+    findings = review_configuration(content, in_force)
+    changes = [(f.where, f.text) for f in findings if f.severity is Severity.CHANGE]
+    assert (where, text) in changes
+
+
+def test_finding_is_one_line_of_printable_text() -> None:
+    """Guard against a name that adds a line or moves the cursor of a terminal."""
+    findings = _review({"Name": "a\nerror: \x1b[2J", "Burst": 5}, ("Tenants", 1))
+    assert all(finding.line().isprintable() for finding in findings)
+    assert any("a\\nerror" in finding.line() for finding in findings)
+
+
+def test_number_in_a_text_is_read_as_in_force() -> None:
+    """Guard against a traceback for a number that entries accept."""
+    findings = _review({"Attempts": "2.0"}, ("Routes", 0))
+    assert [f.where for f in findings] == ["Routes[turns].Attempts"]
+
+
 def test_changes_against_the_version_in_force_name_no_key() -> None:
     """Guard against keys on a terminal, and against a version that is ignored."""
     document = copy.deepcopy(SOUND)
