Don't measure events that wait for a slow caller

The relay reads the next chunk once the caller has taken the one before, so that a caller that stops reading made its instance look slow for all others at this entry.

--- a/lentilroad/membership/stream_times.py
+++ b/lentilroad/membership/stream_times.py
@@ -35,6 +35,9 @@
 # Cost of a further concurrent request to an instance without a complete stream, as a
 # share of the service's mean stream time.
 UNPROVEN_COST_SHARE = 0.5
+# Events that arrive while earlier ones take longer than this to be forwarded are not
+# measured: the caller, and not the instance, sets the pace.
+MAX_FORWARD_S = 0.02
 # An instance's ratio is logged when it changed by this factor.
 LOGGED_CHANGE = 1.5
 
@@ -181,6 +184,7 @@
     __slots__ = (
         "_clock",
         "_events",
+        "_forwarded_s",
         "_instance_id",
         "_last_s",
         "_service_times",
@@ -201,19 +205,25 @@
         self._times = times
         self._clock = clock
         self._last_s = sent_s
+        self._forwarded_s = sent_s
         self._events = 0
 
     def record_events(self, count: int) -> None:
         """Record that complete events have arrived."""
         now_s = self._clock.monotonic_s()
         elapsed_s = now_s - self._last_s
+        waited_for_caller = self._forwarded_s - self._last_s > MAX_FORWARD_S
         self._last_s = now_s
-        if self._events:
-            self._service_times.record_gaps(self._times, elapsed_s, count)
-        else:
+        if not self._events:
             self._service_times.record_first_event(self._times, elapsed_s)
+        elif not waited_for_caller:
+            self._service_times.record_gaps(self._times, elapsed_s, count)
         self._events += count
 
+    def record_forwarded(self, now_s: float) -> None:
+        """Record the monotonic time at which the caller had taken the events."""
+        self._forwarded_s = now_s
+
     def record_end(self) -> None:
         """Record that the stream ended normally."""
         if not self._events:
--- a/lentilroad/request/streaming.py
+++ b/lentilroad/request/streaming.py
@@ -113,6 +113,8 @@
             await self._forward(complete)
             if reader.event_count > event_count:
                 self._last_progress_s = self._clock.monotonic_s()
+                if observer is not None:
+                    observer.record_forwarded(self._last_progress_s)
         partial = reader.pop_partial_event()
         if partial.strip(LINE_ENDS):
             raise ExchangeBrokenError(
--- a/tests/membership/test_stream_times.py
+++ b/tests/membership/test_stream_times.py
@@ -75,3 +75,24 @@
     for _ in range(40_000):
         service.record_gaps(other, 0.0, 1)
     assert service.ratio(times) <= MAX_RATIO
+
+
+def test_caller_that_reads_slowly_does_not_make_an_instance_slow() -> None:
+    """Guard against callers that move work away from sound instances."""
+    clock = ManualClock()
+    service, times = ServiceTimes(clock=clock), StreamTimes()
+    observer = StreamObserver(
+        instance_id="i", service_times=service, times=times, sent_s=0.0, clock=clock
+    )
+    for _ in range(5):
+        clock.now_s += 0.05
+        observer.record_events(1)
+        observer.record_forwarded(clock.now_s)
+    # The caller stops reading for 2 s; then the events of this time arrive at once.
+    clock.now_s += 2.0
+    observer.record_forwarded(clock.now_s)
+    observer.record_events(1)
+    observer.record_forwarded(clock.now_s)
+    clock.now_s += 0.05
+    observer.record_events(1)
+    assert times.event_gap_s == pytest.approx(0.05)
