Bound the log line of a key that many customers have

Each of up to 20 lines named all holders of a key, by which a configuration with one key for thousands of customers filled the buffer of the log; the texts of the other faults were built as well.

--- a/lentilroad/platform/customers.py
+++ b/lentilroad/platform/customers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import Annotated, Any
 
@@ -183,10 +184,11 @@
             holders.setdefault(key, set()).add(name)
     shared = {key: names for key, names in holders.items() if len(names) > 1}
     for names in shared.values():
-        first, *others = sorted(names)
+        first, second, *_ = heapq.nsmallest(2, names)
+        more = f" and {len(names) - 2} more" if len(names) > 2 else ""
         faults.add(
             first,
-            f"a key is left out, because {', '.join(others)} has it as well; give each "
+            f"a key is left out, because {second}{more} has it as well; give each "
             "customer its own keys",
         )
     return set(shared)
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -114,6 +114,14 @@
     assert [fault["customer"] for fault in faults] == ["a"]
 
 
+def test_keys_of_thousands_of_customers_are_logged_in_short_lines(faults) -> None:
+    """Guard against lines that name all customers and crowd out the rest of the log."""
+    shared = [f"key-{number}" for number in range(100)]
+    table = _found(*[{"Name": f"c{n}", "ApiKeys": shared} for n in range(3000)])
+    assert table.find("key-1") is None
+    assert max(len(json.dumps(fault)) for fault in faults) < 1000
+
+
 def test_customer_named_twice_keeps_all_its_keys(faults) -> None:
     """Guard against keys that are refused because their customer has two entries."""
     table = _found(
