--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -13,10 +13,10 @@
 from lentilroad.platform.requests import decode_request, encode_request
 from lentilroad.platform.settings import decode_settings
 from lentilroad.version.customers import Customer, CustomerTable
-from lentilroad.version.routes import Route, RouteKind, request_priority
 from tests.platform.test_decoding import SETTINGS
 
 HEAD = [(b"Host", b"h"), (b"Lentilroad-Attempt-Id", b"a1")]
+ODD = Customer(name="odd")
 SOUND = {"Name": "sound", "ApiKeys": ["key-sound"], "RatePerS": 5, "Burst": 2}
 
 
@@ -52,49 +52,46 @@
 
 
 @pytest.mark.parametrize(
-    "tenant",
+    ("change", "customer"),
     [
-        7,
-        {"ApiKeys": ["key-odd"]},
-        {"Name": 5, "ApiKeys": ["key-odd"]},
-        {"Name": "", "ApiKeys": ["key-odd"]},
-        {"Name": "odd ", "ApiKeys": ["key-odd"]},
-        {"Name": "odd\r\nX: 1", "ApiKeys": ["key-odd"]},
-        {"Name": "n" * 257, "ApiKeys": ["key-odd"]},
+        ({"Name": None}, None),
+        ({"Name": 5}, None),
+        ({"Name": ""}, None),
+        ({"Name": "odd "}, None),
+        ({"Name": "odd\r\nX: 1"}, None),
+        ({"Name": "n" * 257}, None),
+        ({"RatePerS": -1}, ODD),
+        ({"RatePerS": 1e300}, ODD),
+        ({"RatePerS": "nan"}, ODD),
+        ({"RatePerS": int("9" * 400)}, ODD),
+        ({"Burst": -5}, ODD),
+        ({"Priority": "first"}, ODD),
+        ({"Priority": 10**30}, ODD),
     ],
 )
-def test_customer_without_a_usable_name_is_left_out(tenant: Any, faults) -> None:
+def test_odd_field_of_a_customer_costs_as_little_as_possible(
+    change: dict, customer: Customer | None, faults
+) -> None:
     """Guard against one odd customer that loses the version or forges a header."""
-    table = _found(tenant)
-    assert table.find("key-odd") is None
-    assert [fault["customer"] for fault in faults] == ["entry 0"]
+    table = _found({"Name": "odd", "ApiKeys": ["key-odd"], **change})
+    assert table.find("key-odd") == customer
+    assert [f["customer"] for f in faults] == ["odd" if customer else "entry 0"]
     assert "key-odd" not in json.dumps(faults)
 
 
-@pytest.mark.parametrize(
-    "change",
-    [
-        {"RatePerS": -1},
-        {"RatePerS": 1e300},
-        {"RatePerS": "nan"},
-        {"RatePerS": int("9" * 400)},
-        {"Burst": -5},
-        {"Priority": "first"},
-        {"Priority": 10**30},
-    ],
-)
-def test_odd_quota_or_priority_costs_only_itself(change: dict, faults) -> None:
-    """Guard against a customer whose keys are refused because of one odd number."""
-    table = _found({"Name": "odd", "ApiKeys": ["key-odd"], **change})
-    assert table.find("key-odd") == Customer(name="odd")
-    assert [fault["customer"] for fault in faults] == ["odd"]
+@pytest.mark.parametrize("tenant", [7, {"ApiKeys": ["key-odd"]}])
+def test_entry_that_is_no_customer_is_left_out(tenant: Any, faults) -> None:
+    """Guard against one odd entry that loses the version."""
+    assert _found(tenant).find("key-odd") is None
+    assert [fault["customer"] for fault in faults] == ["entry 0"]
+    assert "key-odd" not in json.dumps(faults)
 
 
 def test_keys_that_no_request_can_carry_are_left_out(faults) -> None:
     """Guard against an empty key that lets in requests without one."""
     odd_keys = ["", "with blank", "tab\t", "ключ", "k" * 4097, 7, None]
     table = _found({"Name": "odd", "ApiKeys": [*odd_keys, "key-odd"]})
-    assert table.find("key-odd") == Customer(name="odd")
+    assert table.find("key-odd") == ODD
     for key in odd_keys:
         assert table.find(str(key)) is None
     assert len(faults) == 1
@@ -186,23 +183,6 @@
     assert (name in head) is with_customers
 
 
-def test_priority_of_a_customer_replaces_that_of_the_route() -> None:
-    """Guard against an urgent customer that waits behind a route's own priority."""
-    route = Route(
-        name="r",
-        host="h",
-        prefix="/",
-        kind=RouteKind.IDEMPOTENT,
-        services=(),
-        timeout_s=1.0,
-        target_latency_s=1.0,
-        priority=2,
-    )
-    assert request_priority(route, None) == 2
-    assert request_priority(route, Customer(name="a")) == 2
-    assert request_priority(route, Customer(name="a", priority=0)) == 0
-
-
 @pytest.mark.parametrize(
     ("bounds", "revoke_s"),
     [
--- a/tests/request/test_customers.py
+++ b/tests/request/test_customers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, nullcontext
+from dataclasses import replace
 from functools import partial
 from types import SimpleNamespace
 
@@ -14,11 +15,11 @@
 from lentilroad.errors import RateLimitedError, UnauthenticatedError
 from lentilroad.request.authentication import identify_customer
 from lentilroad.request.fingerprints import request_fingerprint
-from lentilroad.request.inbound import InboundRequest
 from lentilroad.request.refusals import refusal_status
 from lentilroad.version.customers import Customer, CustomerTable
-from lentilroad.version.routes import Route, RouteKind, RouteTable
+from lentilroad.version.routes import Route, RouteKind, RouteTable, request_priority
 from tests.fakes.gateway import ATTEMPT_ID, instance, route_table, serving_gateway
+from tests.fakes.inbound import inbound
 from tests.fakes.raw_server import RawRequest, raw_response, raw_server
 
 KEYS = {"a": ["key-a1", "key-a2"], "b": ["key-b"]}
@@ -67,6 +68,14 @@
         return response.status
 
 
+async def _raw_status(gateway: SimpleNamespace, head: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(*gateway.runner.addresses[0][:2])
+    writer.write(head)
+    line = await asyncio.wait_for(reader.readline(), 1.5)
+    writer.close()
+    return line.split()[1]
+
+
 async def test_instance_receives_the_customer_and_never_the_key() -> None:
     """Guard against instances that see keys or a name that the caller made up."""
     async with _gateway() as gateway:
@@ -100,14 +109,11 @@
 async def test_unknown_key_is_refused_before_the_body_arrives() -> None:
     """Guard against callers without a key that make an entry hold their bodies."""
     async with _gateway() as gateway:
-        reader, writer = await asyncio.open_connection(*gateway.runner.addresses[0][:2])
-        writer.write(
+        head = (
             b"POST /keyed/x HTTP/1.1\r\nHost: h.example\r\nLentilroad-Attempt-Id: a\r\n"
             b"Authorization: Bearer unknown\r\nContent-Length: 4000000\r\n\r\n"
         )
-        head = await asyncio.wait_for(reader.readline(), 1.5)
-        writer.close()
-    assert head.startswith(b"HTTP/1.1 401")
+        assert await _raw_status(gateway, head) == b"401"
 
 
 async def test_key_that_was_taken_away_ends_on_open_connections() -> None:
@@ -140,14 +146,10 @@
         async with _gateway() as gateway:
             await _status(gateway, "/keyed/x", "Bearer key-a1")
             await _status(gateway, "/keyed/x", "Bearer unknown")
-            address = gateway.runner.addresses[0][:2]
-            reader, writer = await asyncio.open_connection(*address)
-            writer.write(b"GET /keyed/x HTTP/1.1\r\n%s\r\n\r\n" % unparseable)
-            head = await asyncio.wait_for(reader.readline(), 1.5)
-            writer.close()
+            head = b"GET /keyed/x HTTP/1.1\r\n%s\r\n\r\n" % unparseable
+            assert await _raw_status(gateway, head) == b"400"
     finally:
         eliot.remove_destination(capture)
-    assert head.split()[1] == b"400"
     assert {"request_done", "request_refused"} <= {e["event"] for e in events}
     output = capfd.readouterr()
     logged = f"{events}{output.out}{output.err}{caplog.text}"
@@ -155,18 +157,6 @@
     assert "unknown" not in logged
 
 
-def _inbound(*, target: str = "/", **fields) -> InboundRequest:
-    return InboundRequest(
-        request_id="r",
-        method="GET",
-        target=target,
-        host="h",
-        forwarded_headers=[],
-        body=b"x",
-        **fields,
-    )
-
-
 @pytest.mark.parametrize(
     ("target", "needs_key"),
     [
@@ -188,8 +178,8 @@
         keys_confirmed=lambda: True,
     )
     with pytest.raises(UnauthenticatedError) if needs_key else nullcontext():
-        identify(_inbound(target=target))
-    known = _inbound(target=target, key="key-a1")
+        identify(inbound(target=target))
+    known = inbound(target=target, key="key-a1")
     identify(known)
     assert known.customer == Customer(name="a")
 
@@ -198,24 +188,34 @@
     """Guard against a customer that bans another one, or evades a ban by a new key."""
     old = Customer(name="a", rate_per_s=1.0)
     new = Customer(name="a", rate_per_s=2.0)
-    first = request_fingerprint(_inbound(customer=old))
-    assert request_fingerprint(_inbound(customer=new)) == first
+    first = request_fingerprint(inbound(customer=old))
+    assert request_fingerprint(inbound(customer=new)) == first
     for other in (
-        _inbound(customer=Customer(name="b")),
-        _inbound(),
-        _inbound(credential="customer a"),
+        inbound(customer=Customer(name="b")),
+        inbound(),
+        inbound(credential="customer a"),
     ):
         assert request_fingerprint(other) != first
 
 
+def test_priority_of_a_customer_replaces_that_of_the_route() -> None:
+    """Guard against an urgent customer that waits behind a route's own priority."""
+    route = _table().match("h.example", "/keyed/")
+    assert route is not None
+    route = replace(route, priority=2)
+    assert request_priority(route, None) == 2
+    assert request_priority(route, Customer(name="a")) == 2
+    assert request_priority(route, Customer(name="a", priority=0)) == 0
+
+
 def test_ids_of_two_customers_never_meet() -> None:
     """Guard against a customer that joins another's program or sticky object."""
     ids = {
-        _inbound(customer=customer).scoped("p")
+        inbound(customer=customer).scoped("p")
         for customer in (None, Customer(name="a"), Customer(name="ap"))
     }
     assert len(ids) == 3
-    assert _inbound(customer=Customer(name="a")).scoped("") == ""
+    assert inbound(customer=Customer(name="a")).scoped("") == ""
 
 
 def test_request_over_a_limit_of_its_customer_gets_429() -> None:
