--- a/lentilroad/membership/stream_times.py
+++ b/lentilroad/membership/stream_times.py
@@ -29,9 +29,15 @@
 KNOWLEDGE_HALF_LIFE_S = 10.0
 # Bound on how much slower or faster than the mean an instance is taken for.
 MAX_RATIO = 8.0
+# Samples of one chunk that count; so many replace 98 % of a mean. A chunk may hold
+# thousands of events.
+MAX_GAPS_PER_CHUNK = 32
 # Cost of a further concurrent request to an instance without a complete stream, as a
 # share of the service's mean stream time.
 UNPROVEN_COST_SHARE = 0.5
+# Events that arrive while earlier ones take longer than this to be forwarded are not
+# measured: the caller, and not the instance, sets the pace.
+MAX_FORWARD_S = 0.02
 # An instance's ratio is logged when it changed by this factor.
 LOGGED_CHANGE = 1.5
 
@@ -101,7 +107,7 @@
         """Record that `count` events arrived `elapsed_s` after the previous one."""
         times.updated_at_s = self._clock.monotonic_s()
         gap_s = elapsed_s / count
-        for _ in range(count):
+        for _ in range(min(count, MAX_GAPS_PER_CHUNK)):
             weight = max(GAP_WEIGHT, times.gap_weight)
             times.event_gap_s = _mix(times.event_gap_s, gap_s, weight)
             times.gap_weight *= 1.0 - weight
@@ -127,8 +133,12 @@
             or times.event_gap_s == 0.0
         ):
             return 1.0
-        ratio = times.stream_s(mean.events) / mean.stream_s(mean.events)
-        return 1.0 + (min(MAX_RATIO, ratio) - 1.0) * self._certainty(times)
+        mean_stream_s = mean.stream_s(mean.events)
+        if mean_stream_s == 0.0:
+            return 1.0
+        ratio = times.stream_s(mean.events) / mean_stream_s
+        ratio = max(1.0 / MAX_RATIO, min(MAX_RATIO, ratio))
+        return 1.0 + (ratio - 1.0) * self._certainty(times)
 
     def cost_s(self, times: StreamTimes, in_flight: int) -> float:
         """Return the cost of an instance by its stream times, 0 for an average one.
@@ -174,6 +184,7 @@
     __slots__ = (
         "_clock",
         "_events",
+        "_forwarded_s",
         "_instance_id",
         "_last_s",
         "_service_times",
@@ -194,19 +205,25 @@
         self._times = times
         self._clock = clock
         self._last_s = sent_s
+        self._forwarded_s = sent_s
         self._events = 0
 
     def record_events(self, count: int) -> None:
         """Record that complete events have arrived."""
         now_s = self._clock.monotonic_s()
         elapsed_s = now_s - self._last_s
+        waited_for_caller = self._forwarded_s - self._last_s > MAX_FORWARD_S
         self._last_s = now_s
-        if self._events:
-            self._service_times.record_gaps(self._times, elapsed_s, count)
-        else:
+        if not self._events:
             self._service_times.record_first_event(self._times, elapsed_s)
+        elif not waited_for_caller:
+            self._service_times.record_gaps(self._times, elapsed_s, count)
         self._events += count
 
+    def record_forwarded(self, now_s: float) -> None:
+        """Record the monotonic time at which the caller had taken the events."""
+        self._forwarded_s = now_s
+
     def record_end(self) -> None:
         """Record that the stream ended normally."""
         if not self._events:
