--- /dev/null
+++ b/lentilroad/request/program_order.py
@@ -0,0 +1,85 @@
+"""Order of the requests that wait for a slot, by what their programs can still reach.
+
+Programs under way go before new ones: the work already done for them is lost if they
+end too late. Then come programs that will end late, and last those that can no longer
+end within twice their time. Within each of these groups, requests of customers that
+have far more waiting than the others follow the rest, and requests of programs under
+way are ordered by the time at which they have to start.
+"""
+
+from __future__ import annotations
+
+from lentilroad.request.program_tracker import ProgramState
+from lentilroad.version.customers import Customer
+from lentilroad.version.routes import Route
+
+UNDER_WAY, NEW, LATE, TOO_LATE = 0.0, 1.0, 2.0, 3.0
+# A program counts as late if less than this share of the estimated work fits into the
+# time that is left. Programs of one route differ, so an estimate may be twice too high.
+LATE_WORK_SHARE = 0.5
+# Start time that is assumed for programs that state no finish time.
+DEFAULT_SLACK_S = 10.0
+# A level of priority is worth this much of waiting time. Strict priority would starve
+# the less urgent kinds of requests under overload.
+PRIORITY_ADVANCE_S = 0.05
+PRIORITY_LEVELS_MAX = 8
+# A customer with this many times its equal share of the waiting requests, and at least
+# as many as the minimum, goes last in its group.
+EXCESS_FACTOR = 3.0
+EXCESS_MIN = 4
+
+
+def effective_priority(route: Route, customer: Customer | None) -> int:
+    """Return the priority of a request; the customer's goes before the route's."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
+
+
+def waits_in_excess(own: int, total: int, customers: int) -> bool:
+    """Return whether a customer has far more waiting requests than its share.
+
+    Parameters
+    ----------
+    own : int
+        Waiting requests of the customer.
+    total : int
+        Waiting requests of all customers.
+    customers : int
+        Customers with waiting requests.
+    """
+    if own < EXCESS_MIN or customers < 2:
+        return False
+    others = (total - own) / (customers - 1)
+    return own > EXCESS_FACTOR * others
+
+
+def waiting_rank(
+    *, state: ProgramState, priority: int, began_s: float, in_excess: bool
+) -> tuple[float, ...]:
+    """Return the sort key of a waiting request; the lowest starts first.
+
+    Parameters
+    ----------
+    state : ProgramState
+        State of the request's program at its arrival.
+    priority : int
+        Priority of the request; 0 is the highest.
+    began_s : float
+        Monotonic time at which the request arrived.
+    in_excess : bool
+        Whether the request's customer has far more waiting than its share.
+    """
+    excess = 1.0 if in_excess else 0.0
+    delay_s = PRIORITY_ADVANCE_S * min(max(0, priority), PRIORITY_LEVELS_MAX)
+    if state.is_too_late():
+        return (TOO_LATE, excess, began_s + delay_s)
+    if state.finish_s is not None and (
+        state.finish_s < LATE_WORK_SHARE * state.remaining_work_s
+    ):
+        return (LATE, excess, began_s + delay_s)
+    if not state.under_way:
+        # In order of arrival, since those with much slack would else always start last.
+        return (NEW, excess, began_s + delay_s)
+    slack_s = min(state.slack_s(), DEFAULT_SLACK_S)
+    return (UNDER_WAY, excess, began_s + slack_s + delay_s)
