--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -32,6 +32,8 @@
     ----------
     deadline_at_s : float
         Monotonic time by which the caller must have its response.
+    within_quota : bool
+        Whether the request was counted against its customer's quota.
     stops_at_deadline : bool
         Whether the deadline is the end of this process and not of the caller's wait.
     began_s : float
@@ -84,6 +86,7 @@
     response_started: bool = False
     after_event: str = ""
     stops_at_deadline: bool = False
+    within_quota: bool = False
 
     def stop_by(self, time_s: float) -> bool:
         """Move the deadline to the end of the process; return whether it is earlier."""
