--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -14,6 +14,7 @@
 from lentilroad.request.const import ANSWER_MAX_BYTES, FIRST_EVENT_MARGIN_S
 from lentilroad.request.fingerprints import request_fingerprint
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
+from lentilroad.request.program_tracker import ProgramState
 from lentilroad.version.routes import Route, RouteKind
 
 
@@ -63,6 +64,10 @@
     after_event : str
         Id of the event after which the next run resumes the stream; empty for its
         beginning.
+    program : ProgramState or None
+        State of the request's program; None if the configuration has no customers.
+    rank : tuple of float or None
+        Sort key among waiting requests; None for the order without customers.
     """
 
     inbound: InboundRequest
@@ -87,6 +92,8 @@
     after_event: str = ""
     stops_at_deadline: bool = False
     within_quota: bool = False
+    program: ProgramState | None = None
+    rank: tuple[float, ...] | None = None
 
     def stop_by(self, time_s: float) -> bool:
         """Move the deadline to the end of the process; return whether it is earlier."""
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -37,6 +37,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import BufferedResponse, Exchange, read_response
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
+from lentilroad.request.program_policy import ProgramPolicy
 from lentilroad.request.quota import QuotaClient
 from lentilroad.request.refusals import (
     StoppingError,
@@ -105,6 +106,8 @@
     keys_confirmed : callable, optional
         Returns whether the configuration is recent enough to accept keys; it always is
         if omitted.
+    programs : ProgramPolicy, optional
+        Order and admission where the configuration has customers.
     """
 
     def __init__(
@@ -124,8 +127,10 @@
         suspects: CrashSuspects,
         quotas: QuotaClient | None = None,
         keys_confirmed: Callable[[], bool] = lambda: True,
+        programs: ProgramPolicy | None = None,
     ) -> None:
         self._table = table
+        self._programs = programs
         self._quotas = quotas
         self._keys_confirmed = keys_confirmed
         self._decode = decode
@@ -205,7 +210,10 @@
                 open_to_all=exchange.route.open_to_all,
                 keys_confirmed=self._keys_confirmed,
             )
+            if self._programs is not None and table.customers is not None:
+                exchange.program = self._programs.state_of(inbound, exchange.route)
             await self._admit(exchange)
+            self._start_program(exchange)
             inbound.body = await read_body(
                 request,
                 table.limits.max_body_bytes,
@@ -249,9 +257,26 @@
         if self._quotas is None or customer is None or not customer.is_limited():
             return
         under_way = bool(exchange.inbound.previous_turn_id)
+        if exchange.program is not None:
+            under_way = exchange.program.under_way
         await self._quotas.admit(customer, under_way=under_way)
         exchange.within_quota = True
 
+    def _start_program(self, exchange: Exchange) -> None:
+        """Rank the request, or refuse it if its program should not start now."""
+        if self._programs is None or exchange.program is None:
+            return
+        decision = self._programs.decide(
+            exchange.inbound,
+            exchange.route,
+            exchange.service,
+            exchange.program,
+            exchange.began_s,
+        )
+        if decision.admission.reason:
+            raise decision.admission.error(exchange.service)
+        exchange.rank = decision.rank
+
     def _give_back_quota(self, exchange: Exchange | None) -> None:
         """Take back the count of a request that no instance can have run."""
         if exchange is None or not exchange.within_quota or exchange.possible_runs:
@@ -359,9 +384,10 @@
         inbound = exchange.inbound
         return PlacementRequest(
             service=exchange.service,
-            rank=self._rank(exchange),
+            rank=exchange.rank or self._rank(exchange),
             remaining_s=0.0,
             prompt_parts=inbound.prompt_parts,
+            under_way=exchange.program is not None and exchange.program.under_way,
             customer=inbound.customer.name if inbound.customer is not None else "",
             affinity_key=(
                 inbound.scoped(inbound.affinity_key) if exchange.route.sticky else ""
--- a/lentilroad/request/program_admission.py
+++ b/lentilroad/request/program_admission.py
@@ -59,10 +59,16 @@
         ``""`` if admitted, else ``slots``, ``wait``, ``share`` or ``returning``.
     retry_after_s : float
         Time after which a refused program should return.
+    usage : float
+        Requests in flight and waiting at all entries, per slot of the service.
+    refused_share : float
+        Share of the new programs that was refused at this load, from 0 to 1.
     """
 
     reason: str = ""
     retry_after_s: float = 0.0
+    usage: float = 0.0
+    refused_share: float = 0.0
 
     def error(self, service: str) -> OverloadedError:
         """Return the error of a refused program."""
@@ -161,26 +167,29 @@
         mine.shares.arrived(customer, weight)
         pending = _pending_admissions(mine.admitted_s, load)
         reason, share = _refused_share(load, pending, state, turns_per_program)
-        # A program that was refused before has used up the time that it could wait.
         if share > 0.0:
             mine.short_until_s = now_s + SHORTAGE_HOLD_S
-        refused = state.returning and now_s < mine.short_until_s
-        if refused:
-            reason = "returning"
-        elif share > 0.0:
             levels = min(max(0, priority), PRIORITY_LEVELS_MAX)
             share = min(1.0, share * (1.0 + PRIORITY_WEIGHT * levels))
             own_share = mine.shares.refused_share(customer, share)
-            refused = self._random_share() < own_share
             if own_share > share:
                 reason = "share"
+            refused = self._random_share() < own_share
+        else:
+            refused = False
+        # A program that was refused before has used up the time that it could wait.
+        if state.returning and now_s < mine.short_until_s:
+            refused, reason = True, "returning"
         if not refused:
             mine.admitted_s.append(now_s)
             return ADMITTED
         rate_per_s = load.completed_per_s / max(1.0, turns_per_program)
         rate_per_s *= RETURN_SHARE / max(1, load.entries)
         return Admission(
-            reason=reason, retry_after_s=self._retry_after_s(mine, load, rate_per_s)
+            reason=reason,
+            retry_after_s=self._retry_after_s(mine, load, rate_per_s),
+            usage=_usage(load, pending),
+            refused_share=share,
         )
 
     def _retry_after_s(
@@ -207,15 +216,20 @@
     return len(admitted_s)
 
 
+def _usage(load: ServiceLoad, pending: int) -> float:
+    """Return the requests in flight and waiting per slot."""
+    waiting = load.waiting_under_way + load.waiting_new
+    return (load.in_flight + waiting + pending) / load.slots
+
+
 def _refused_share(
     load: ServiceLoad, pending: int, state: ProgramState, turns_per_program: float
 ) -> tuple[str, float]:
     """Return the reason and the share of new programs to refuse, from 0 to 1."""
-    demand = load.in_flight + load.waiting_under_way + load.waiting_new + pending
-    usage = demand / load.slots
+    usage = _usage(load, pending)
     slots_share = (usage - LOAD_REFUSE_FIRST) / (LOAD_REFUSE_ALL - LOAD_REFUSE_FIRST)
     wait_share = 0.0
-    if load.completed_per_s > 0.0 and demand > load.slots:
+    if load.completed_per_s > 0.0 and usage > 1.0:
         # Programs under way go first, so new ones only get the slots that they leave.
         new_per_s = load.completed_per_s / max(1.0, turns_per_program)
         wait_s = load.waiting_under_way / load.completed_per_s
--- a/lentilroad/request/program_order.py
+++ b/lentilroad/request/program_order.py
@@ -10,8 +10,6 @@
 from __future__ import annotations
 
 from lentilroad.request.program_tracker import ProgramState
-from lentilroad.version.customers import Customer
-from lentilroad.version.routes import Route
 
 UNDER_WAY, NEW, LATE, TOO_LATE = 0.0, 1.0, 2.0, 3.0
 # A program counts as late if less than this share of the estimated work fits into the
@@ -29,13 +27,6 @@
 EXCESS_MIN = 4
 
 
-def effective_priority(route: Route, customer: Customer | None) -> int:
-    """Return the priority of a request; the customer's goes before the route's."""
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
-
-
 def waits_in_excess(own: int, total: int, customers: int) -> bool:
     """Return whether a customer has far more waiting requests than its share.
 
--- a/lentilroad/request/program_policy.py
+++ b/lentilroad/request/program_policy.py
@@ -7,26 +7,22 @@
 from dataclasses import dataclass
 
 from lentilroad.clock import Clock
+from lentilroad.process.events import log_event
+from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.inbound import InboundRequest
-from lentilroad.request.program_admission import (
-    ADMITTED,
-    Admission,
-    LoadOf,
-    ProgramAdmission,
-)
-from lentilroad.request.program_order import (
-    effective_priority,
-    waiting_rank,
-    waits_in_excess,
-)
-from lentilroad.request.program_tracker import ProgramTracker
+from lentilroad.request.program_admission import Admission, LoadOf, ProgramAdmission
+from lentilroad.request.program_order import waiting_rank, waits_in_excess
+from lentilroad.request.program_tracker import ProgramState, ProgramTracker
 from lentilroad.version.customers import Customer
-from lentilroad.version.routes import Route
+from lentilroad.version.routes import Route, request_priority
 
 WaitingByCustomer = Callable[[str], Mapping[str, int]]
 
 # Weight of customers without a quota, relative to those with one.
 DEFAULT_WEIGHT = 1.0
+# Customers with counters of their own; the others are counted together.
+CUSTOMER_LABELS_MAX = 100
+OTHER_CUSTOMERS = "other"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,15 +31,13 @@
 
     Attributes
     ----------
-    rank : tuple of float
-        Sort key among waiting requests; the lowest starts first.
-    under_way : bool
-        Whether the program has already run a request.
+    rank : tuple of float or None
+        Sort key among waiting requests, the lowest starts first; None if the load of
+        the service at all entries is unknown.
     """
 
     admission: Admission
-    rank: tuple[float, ...]
-    under_way: bool
+    rank: tuple[float, ...] | None
 
 
 class ProgramPolicy:
@@ -57,11 +51,13 @@
         Returns the `ServiceLoad` of a service, or None if there is no shared view.
     waiting : callable
         Returns the waiting requests of a service at this entry by customer.
+    telemetry : Telemetry
+        Counters of programs.
     random_share : callable
         Returns a random number from 0 to 1.
     """
 
-    __slots__ = ("_admission", "_tracker", "_waiting")
+    __slots__ = ("_admission", "_labels", "_telemetry", "_tracker", "_waiting")
 
     def __init__(
         self,
@@ -69,6 +65,7 @@
         clock: Clock,
         load: LoadOf,
         waiting: WaitingByCustomer,
+        telemetry: Telemetry,
         random_share: Callable[[], float] = random.random,
     ) -> None:
         self._tracker = ProgramTracker(clock=clock)
@@ -76,22 +73,34 @@
             load=load, clock=clock, random_share=random_share
         )
         self._waiting = waiting
+        self._telemetry = telemetry
+        self._labels: set[str] = set()
+
+    def state_of(self, inbound: InboundRequest, route: Route) -> ProgramState:
+        """Return the state of a request's program."""
+        return self._tracker.state_of(inbound, route)
 
     def decide(
-        self, inbound: InboundRequest, route: Route, service: str, began_s: float
+        self,
+        inbound: InboundRequest,
+        route: Route,
+        service: str,
+        state: ProgramState,
+        began_s: float,
     ) -> ProgramDecision:
         """Decide whether a request may start, and in which order it waits.
 
         Parameters
         ----------
+        state : ProgramState
+            State of the request's program.
         began_s : float
             Monotonic time at which the request arrived.
         """
-        state = self._tracker.state_of(inbound, route)
         customer = inbound.customer
         name = customer.name if customer is not None else ""
-        priority = effective_priority(route, customer)
-        admission = ADMITTED
+        priority = request_priority(route, customer)
+        admission = Admission()
         if not state.under_way:
             admission = self._admission.decide(
                 service=service,
@@ -101,20 +110,49 @@
                 priority=priority,
                 turns_per_program=self._tracker.turns_per_program(service),
             )
+            self._record(inbound, route, service, admission)
         if admission.reason:
             self._tracker.refused(inbound, state)
-        else:
-            self._tracker.accepted(inbound, route, service, state)
+            return ProgramDecision(admission=admission, rank=None)
+        self._tracker.accepted(inbound, route, service, state)
+        if self._admission.current_load(service) is None:
+            return ProgramDecision(admission=admission, rank=None)
         waiting = self._waiting(service)
         in_excess = waits_in_excess(
             waiting.get(name, 0), sum(waiting.values()), len(waiting)
         )
-        return ProgramDecision(
-            admission=admission,
-            rank=waiting_rank(
-                state=state, priority=priority, began_s=began_s, in_excess=in_excess
-            ),
-            under_way=state.under_way,
+        rank = waiting_rank(
+            state=state, priority=priority, began_s=began_s, in_excess=in_excess
+        )
+        return ProgramDecision(admission=admission, rank=rank)
+
+    def _record(
+        self, inbound: InboundRequest, route: Route, service: str, admission: Admission
+    ) -> None:
+        """Count the first request of a program, and log it if it is refused."""
+        name = inbound.customer.name if inbound.customer is not None else ""
+        if name not in self._labels:
+            if len(self._labels) < CUSTOMER_LABELS_MAX:
+                self._labels.add(name)
+            else:
+                name = OTHER_CUSTOMERS
+        if not admission.reason:
+            self._telemetry.count("programs_admitted", customer=name)
+            return
+        self._telemetry.count(
+            "programs_refused", customer=name, reason=admission.reason
+        )
+        log_event(
+            "program_refused",
+            request=inbound.request_id,
+            program=inbound.program_id,
+            customer=name,
+            route=route.name,
+            service=service,
+            reason=admission.reason,
+            usage=round(admission.usage, 2),
+            refused_share=round(admission.refused_share, 2),
+            retry_after_ms=int(1000 * admission.retry_after_s),
         )
 
 
