--- a/lentilroad/request/program_admission.py
+++ b/lentilroad/request/program_admission.py
@@ -33,10 +33,9 @@
 SLACK_SHARE = 0.7
 # New programs of all kinds accept the same longest wait, so that none is served less.
 WAIT_MAX_S = 0.35
-# Each level of priority raises the share of programs that is refused by this factor.
-# Without it, urgent kinds with little time would be served less than the others.
-PRIORITY_WEIGHT = 1.0
-PRIORITY_LEVELS_MAX = 4
+# Urgent programs may use this share of the slots while less urgent ones ask for some,
+# so that the less urgent kinds are not starved.
+URGENT_SLOTS_SHARE = 0.8
 # A shortage counts as over once no program was refused for this long. Slots that are
 # free for a moment during a burst belong to programs that can still end in time.
 SHORTAGE_HOLD_S = 1.0
@@ -82,8 +81,8 @@
 ADMITTED = Admission()
 
 
-class _ServiceState:
-    """What this entry decided lately for one service."""
+class _Decisions:
+    """What this entry decided lately for a service and a priority."""
 
     __slots__ = ("admitted_s", "return_at_s", "shares", "short_until_s")
 
@@ -107,7 +106,7 @@
         Returns a random number from 0 to 1.
     """
 
-    __slots__ = ("_clock", "_load", "_random_share", "_services")
+    __slots__ = ("_clock", "_decisions", "_load", "_random_share")
 
     def __init__(
         self,
@@ -119,7 +118,7 @@
         self._load = load
         self._clock = clock
         self._random_share = random_share
-        self._services: dict[str, _ServiceState] = {}
+        self._decisions: dict[tuple[str, int], _Decisions] = {}
 
     def current_load(self, service: str) -> ServiceLoad | None:
         """Return the view of a service, or None if there is none or it is too old."""
@@ -137,6 +136,7 @@
         customer: str,
         weight: float,
         priority: int,
+        urgent_share: float,
         turns_per_program: float,
     ) -> Admission:
         """Decide on the first request of a program.
@@ -153,6 +153,8 @@
             Share of the service that the customer is entitled to, relative to others.
         priority : int
             Priority of the request; 0 is the highest.
+        urgent_share : float
+            Share of the service's turns that are as urgent, or more so.
         turns_per_program : float
             Mean number of turns of a program of the service.
         """
@@ -160,17 +162,17 @@
         if load is None:
             return ADMITTED
         now_s = self._clock.monotonic_s()
-        mine = self._services.get(service)
+        mine = self._decisions.get((service, priority))
         if mine is None:
-            shares = CustomerShares(clock=self._clock)
-            mine = self._services[service] = _ServiceState(shares=shares)
+            mine = _Decisions(shares=CustomerShares(clock=self._clock))
+            self._decisions[service, priority] = mine
         mine.shares.arrived(customer, weight)
         pending = _pending_admissions(mine.admitted_s, load)
-        reason, share = _refused_share(load, pending, state, turns_per_program)
+        reason, share = _refused_share(
+            load, pending, state, turns_per_program, urgent_share
+        )
         if share > 0.0:
             mine.short_until_s = now_s + SHORTAGE_HOLD_S
-            levels = min(max(0, priority), PRIORITY_LEVELS_MAX)
-            share = min(1.0, share * (1.0 + PRIORITY_WEIGHT * levels))
             own_share = mine.shares.refused_share(customer, share)
             if own_share > share:
                 reason = "share"
@@ -188,12 +190,12 @@
         return Admission(
             reason=reason,
             retry_after_s=self._retry_after_s(mine, load, rate_per_s),
-            usage=_usage(load, pending),
+            usage=_usage(load, pending, urgent_share),
             refused_share=share,
         )
 
     def _retry_after_s(
-        self, mine: _ServiceState, load: ServiceLoad, rate_per_s: float
+        self, mine: _Decisions, load: ServiceLoad, rate_per_s: float
     ) -> float:
         """Return when a place is expected, later for each further refusal."""
         now_s = self._clock.monotonic_s()
@@ -216,17 +218,25 @@
     return len(admitted_s)
 
 
-def _usage(load: ServiceLoad, pending: int) -> float:
-    """Return the requests in flight and waiting per slot."""
-    waiting = load.waiting_under_way + load.waiting_new
-    return (load.in_flight + waiting + pending) / load.slots
+def _usage(load: ServiceLoad, pending: int, urgent_share: float) -> float:
+    """Return the requests in flight and waiting per slot that a program may use.
+
+    More urgent requests go first, so that less urgent ones do not count.
+    """
+    requests = load.in_flight + load.waiting_under_way + load.waiting_new + pending
+    usage = requests / load.slots
+    return min(usage, urgent_share * usage / URGENT_SLOTS_SHARE)
 
 
 def _refused_share(
-    load: ServiceLoad, pending: int, state: ProgramState, turns_per_program: float
+    load: ServiceLoad,
+    pending: int,
+    state: ProgramState,
+    turns_per_program: float,
+    urgent_share: float,
 ) -> tuple[str, float]:
     """Return the reason and the share of new programs to refuse, from 0 to 1."""
-    usage = _usage(load, pending)
+    usage = _usage(load, pending, urgent_share)
     slots_share = (usage - LOAD_REFUSE_FIRST) / (LOAD_REFUSE_ALL - LOAD_REFUSE_FIRST)
     wait_share = 0.0
     if load.completed_per_s > 0.0 and usage > 1.0:
@@ -234,6 +244,7 @@
         new_per_s = load.completed_per_s / max(1.0, turns_per_program)
         wait_s = load.waiting_under_way / load.completed_per_s
         wait_s += (load.waiting_new + pending) / new_per_s
+        wait_s *= urgent_share
         allowed_s = min(WAIT_MAX_S, SLACK_SHARE * max(0.0, state.slack_s()))
         wait_share = wait_s / allowed_s - 1.0 if allowed_s > 0.0 else 1.0
     if wait_share > slots_share:
--- a/lentilroad/request/program_order.py
+++ b/lentilroad/request/program_order.py
@@ -1,26 +1,24 @@
 """Order of the requests that wait for a slot, by what their programs can still reach.
 
-Programs under way go before new ones: the work already done for them is lost if they
-end too late. Then come programs that will end late, and last those that can no longer
-end within twice their time. Within each of these groups, requests of customers that
-have far more waiting than the others follow the rest, and requests of programs under
-way are ordered by the time at which they have to start.
+Programs that can no longer end within twice their time go last. Among the others the
+priority decides, the customer's or the route's; admission keeps some slots for less
+urgent programs. Within a priority, programs under way go before new ones, since the
+work already done for them is lost if they end too late, and before those that will end
+late. Requests of customers that have far more waiting than the others follow the rest
+of their group, and programs under way are ordered by the time at which they have to
+start their next request.
 """
 
 from __future__ import annotations
 
 from lentilroad.request.program_tracker import ProgramState
 
-UNDER_WAY, NEW, LATE, TOO_LATE = 0.0, 1.0, 2.0, 3.0
+UNDER_WAY, NEW, LATE = 0.0, 1.0, 2.0
 # A program counts as late if less than this share of the estimated work fits into the
 # time that is left. Programs of one route differ, so an estimate may be twice too high.
 LATE_WORK_SHARE = 0.5
 # Start time that is assumed for programs that state no finish time.
 DEFAULT_SLACK_S = 10.0
-# A level of priority is worth this much of waiting time. Strict priority would starve
-# the less urgent kinds of requests under overload.
-PRIORITY_ADVANCE_S = 0.05
-PRIORITY_LEVELS_MAX = 8
 # A customer with this many times its equal share of the waiting requests, and at least
 # as many as the minimum, goes last in its group.
 EXCESS_FACTOR = 3.0
@@ -62,15 +60,14 @@
         Whether the request's customer has far more waiting than its share.
     """
     excess = 1.0 if in_excess else 0.0
-    delay_s = PRIORITY_ADVANCE_S * min(max(0, priority), PRIORITY_LEVELS_MAX)
     if state.is_too_late():
-        return (TOO_LATE, excess, began_s + delay_s)
+        # In order of arrival, so that none of them waits forever.
+        return (1.0, 0.0, LATE, excess, began_s)
     if state.finish_s is not None and (
         state.finish_s < LATE_WORK_SHARE * state.remaining_work_s
     ):
-        return (LATE, excess, began_s + delay_s)
+        return (0.0, float(priority), LATE, excess, began_s)
     if not state.under_way:
-        # In order of arrival, since those with much slack would else always start last.
-        return (NEW, excess, began_s + delay_s)
+        return (0.0, float(priority), NEW, excess, began_s)
     slack_s = min(state.slack_s(), DEFAULT_SLACK_S)
-    return (UNDER_WAY, excess, began_s + slack_s + delay_s)
+    return (0.0, float(priority), UNDER_WAY, excess, began_s + slack_s)
--- a/lentilroad/request/program_policy.py
+++ b/lentilroad/request/program_policy.py
@@ -108,13 +108,14 @@
                 customer=name,
                 weight=_weight(customer),
                 priority=priority,
+                urgent_share=self._tracker.urgent_share(service, priority),
                 turns_per_program=self._tracker.turns_per_program(service),
             )
             self._record(inbound, route, service, admission)
         if admission.reason:
             self._tracker.refused(inbound, state)
             return ProgramDecision(admission=admission, rank=None)
-        self._tracker.accepted(inbound, route, service, state)
+        self._tracker.accepted(inbound, route, service, state, priority)
         if self._admission.current_load(service) is None:
             return ProgramDecision(admission=admission, rank=None)
         waiting = self._waiting(service)
--- a/lentilroad/request/program_tracker.py
+++ b/lentilroad/request/program_tracker.py
@@ -100,12 +100,21 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_programs", "_routes", "_scale", "_scaled_s")
+    __slots__ = (
+        "_clock",
+        "_priorities",
+        "_programs",
+        "_routes",
+        "_scale",
+        "_scaled_s",
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._programs: OrderedDict[str, _Program] = OrderedDict()
         self._routes: dict[str, _RouteTurns] = {}
+        # Turns by service and priority.
+        self._priorities: dict[tuple[str, int], float] = {}
         # Weight of a turn that arrives now; it grows instead of decaying all counts.
         self._scale = 1.0
         self._scaled_s = clock.monotonic_s()
@@ -144,6 +153,7 @@
         route: Route,
         service: str,
         state: ProgramState,
+        priority: int,
     ) -> None:
         """Record that a request was accepted, so that its program is under way."""
         self._remember(inbound, state, under_way=True)
@@ -157,6 +167,8 @@
         weight = self._weight()
         turns.counts[min(len(inbound.prompt_parts), PROMPT_PARTS_MAX - 1)] += weight
         turns.total += weight
+        key = service, priority
+        self._priorities[key] = self._priorities.get(key, 0.0) + weight
         if state.under_way or state.returning or inbound.finish_s is None:
             return
         if turns.finish_total_s == 0.0:
@@ -181,6 +193,17 @@
             first += turns.counts[self._shortest(turns)]
         return total / first if first > 0.0 else 1.0
 
+    def urgent_share(self, service: str, priority: int) -> float:
+        """Return the share of a service's turns that are as urgent, or more so."""
+        total = urgent = 0.0
+        for (name, other_priority), weight in self._priorities.items():
+            if name != service:
+                continue
+            total += weight
+            if other_priority <= priority:
+                urgent += weight
+        return urgent / total if total > 0.0 else 1.0
+
     def _remember(
         self, inbound: InboundRequest, state: ProgramState, *, under_way: bool
     ) -> None:
@@ -230,6 +253,8 @@
             for turns in self._routes.values():
                 turns.counts = [count / self._scale for count in turns.counts]
                 turns.total /= self._scale
+            for key in self._priorities:
+                self._priorities[key] /= self._scale
             self._scale = 1.0
         return self._scale
 
