--- a/lentilroad/conversation/relay.py
+++ b/lentilroad/conversation/relay.py
@@ -42,6 +42,7 @@
     REPORT_CRASH,
     SHARE_SUSPECTS,
 )
+from lentilroad.membership.load_reports import REPORT_LOAD
 from lentilroad.membership.quota_messages import REPORT_QUOTAS
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS
 from lentilroad.process.events import log_event
@@ -61,6 +62,7 @@
         READ_CHAIN,
         REPORT_CRASH,
         REPORT_QUOTAS,
+        REPORT_LOAD,
         RESERVE,
         SHARE_SUSPECTS,
     )
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -47,7 +47,9 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
+from lentilroad.request.program_policy import ProgramPolicy
 from lentilroad.request.quota import QuotaClient
+from lentilroad.request.shared_load import SharedLoad
 from lentilroad.version.customers import Customer
 
 SWEEP_INTERVAL_S = 0.25
@@ -103,12 +105,24 @@
         bounds=settings.bounds.quotas,
         count=lambda name, customer: telemetry.count(name, customer=customer),
     )
+    shared_load = SharedLoad(
+        call=relayed_calls.call,
+        coordinators=lambda service: storage.coordinators(service, ""),
+        other_entries=relayed_calls.entries,
+        competing=lambda service: (
+            state.table is not None and state.table.callers_compete(service)
+        ),
+        directory=directory,
+        own_address=own_address,
+        clock=clock,
+    )
     dispatcher = Dispatcher(
         directory=directory,
         clock=clock,
         availability_zone=settings.availability_zone,
         region_of=lambda zone: settings.zone_regions.get(zone, zone),
         take_permit=permits.take,
+        slot_limits=shared_load,
     )
     suspects = CrashSuspects(
         call=relayed_calls.call,
@@ -156,6 +170,12 @@
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
+        programs=ProgramPolicy(
+            clock=clock,
+            load=shared_load.load,
+            waiting=dispatcher.waiting_by_customer,
+            telemetry=telemetry,
+        ),
         keys_confirmed=lambda: _is_recent(
             lists.copies[CONFIGURATION_KEY], settings.bounds.revoke_s
         ),
@@ -164,6 +184,8 @@
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
+    telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
+    telemetry.add_gauge("load_reports", lambda: shared_load.reports)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
@@ -215,6 +237,7 @@
         relayed_calls.announce_regularly(storage.addresses),
         suspects.synchronize_regularly(),
         quotas.report_regularly(),
+        shared_load.report_regularly(dispatcher.own_loads, dispatcher.dispatch_waiting),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
