--- a/lentilroad/request/program_tracker.py
+++ b/lentilroad/request/program_tracker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from lentilroad.clock import Clock
@@ -25,12 +25,14 @@
 # Part of the stated finish time that a program needs on idle instances. Callers state
 # 1.2 to 2.1 times the idle time, and the lower bound is the one that binds.
 WORK_SHARE = 0.8
-# The longest deadline of a route shrinks by this factor with each turn, so that a
-# changed deadline is learned within some thousand turns.
-LONGEST_DEADLINE_DECAY = 0.9999
-# Callers state the time that is left. A deadline that is shorter than the route's
-# longest by more than this is that of a caller who was refused before and returns.
+# Callers state the time that is left. Where the deadlines of a route's turns are alike,
+# one that is shorter by more than this is that of a caller who was refused before.
 WAITED_MIN_S = 0.06
+# Share of the turns that may have a shorter deadline: those that returned.
+UNALIKE_SHARE = 0.1
+# Recent turns whose deadlines are compared.
+DEADLINES_MAX = 31
+DEADLINES_MIN = 8
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -77,7 +79,9 @@
     counts: list[float] = field(default_factory=lambda: [0.0] * PROMPT_PARTS_MAX)
     total: float = 0.0
     finish_total_s: float = 0.0
-    longest_deadline_s: float = 0.0
+    deadlines_s: deque[float] = field(
+        default_factory=lambda: deque(maxlen=DEADLINES_MAX)
+    )
 
 
 @dataclass(slots=True, kw_only=True)
@@ -160,10 +164,8 @@
         if route.kind is not RouteKind.STREAMING:
             return
         turns = self._routes.setdefault(route.name, _RouteTurns(service=service))
-        turns.longest_deadline_s *= LONGEST_DEADLINE_DECAY
-        turns.longest_deadline_s = max(
-            turns.longest_deadline_s, inbound.deadline_s or 0.0
-        )
+        if inbound.deadline_s is not None:
+            turns.deadlines_s.append(inbound.deadline_s)
         weight = self._weight()
         turns.counts[min(len(inbound.prompt_parts), PROMPT_PARTS_MAX - 1)] += weight
         turns.total += weight
@@ -284,7 +286,14 @@
     """Return how long a caller tried before, judged by the deadline that it states."""
     if turns is None or inbound.deadline_s is None:
         return 0.0
-    waited_s = turns.longest_deadline_s - inbound.deadline_s
+    if len(turns.deadlines_s) < DEADLINES_MIN:
+        return 0.0
+    deadlines_s = sorted(turns.deadlines_s)
+    usual_s = deadlines_s[len(deadlines_s) // 2]
+    # Callers of some routes give up at times of their own.
+    if usual_s - deadlines_s[int(UNALIKE_SHARE * len(deadlines_s))] > WAITED_MIN_S:
+        return 0.0
+    waited_s = usual_s - inbound.deadline_s
     return waited_s if waited_s > WAITED_MIN_S else 0.0
 
 
