--- a/lentilroad/request/program_admission.py
+++ b/lentilroad/request/program_admission.py
@@ -16,7 +16,7 @@
 from lentilroad.clock import Clock
 from lentilroad.errors import OverloadedError
 from lentilroad.request.customer_shares import CustomerShares
-from lentilroad.request.program_tracker import ProgramState
+from lentilroad.request.program_tracker import Priority, ProgramState
 from lentilroad.request.service_load import ServiceLoad
 
 # A view that is older says nothing about the load of now; entries then admit all.
@@ -118,7 +118,7 @@
         self._load = load
         self._clock = clock
         self._random_share = random_share
-        self._decisions: dict[tuple[str, int], _Decisions] = {}
+        self._decisions: dict[tuple[str, Priority], _Decisions] = {}
 
     def current_load(self, service: str) -> ServiceLoad | None:
         """Return the view of a service, or None if there is none or it is too old."""
@@ -135,7 +135,7 @@
         state: ProgramState,
         customer: str,
         weight: float,
-        priority: int,
+        priority: Priority,
         urgent_share: float,
         turns_per_program: float,
     ) -> Admission:
@@ -151,8 +151,8 @@
             Name of the customer.
         weight : float
             Share of the service that the customer is entitled to, relative to others.
-        priority : int
-            Priority of the request; 0 is the highest.
+        priority : tuple of (int, int)
+            Priority of the request; the lowest is the most urgent.
         urgent_share : float
             Share of the service's turns that are as urgent, or more so.
         turns_per_program : float
--- a/lentilroad/request/program_order.py
+++ b/lentilroad/request/program_order.py
@@ -11,7 +11,9 @@
 
 from __future__ import annotations
 
-from lentilroad.request.program_tracker import ProgramState
+from lentilroad.request.program_tracker import Priority, ProgramState
+from lentilroad.version.customers import Customer
+from lentilroad.version.routes import Route, request_priority
 
 UNDER_WAY, NEW, LATE = 0.0, 1.0, 2.0
 # A program counts as late if less than this share of the estimated work fits into the
@@ -25,6 +27,15 @@
 EXCESS_MIN = 4
 
 
+def program_priority(route: Route, customer: Customer | None) -> Priority:
+    """Return the priority of a request; the lowest is the most urgent.
+
+    The customer's priority goes before the route's. Among requests of customers with
+    the same priority, the route's decides.
+    """
+    return request_priority(route, customer), route.priority
+
+
 def waits_in_excess(own: int, total: int, customers: int) -> bool:
     """Return whether a customer has far more waiting requests than its share.
 
@@ -44,7 +55,7 @@
 
 
 def waiting_rank(
-    *, state: ProgramState, priority: int, began_s: float, in_excess: bool
+    *, state: ProgramState, priority: Priority, began_s: float, in_excess: bool
 ) -> tuple[float, ...]:
     """Return the sort key of a waiting request; the lowest starts first.
 
@@ -52,22 +63,23 @@
     ----------
     state : ProgramState
         State of the request's program at its arrival.
-    priority : int
-        Priority of the request; 0 is the highest.
+    priority : tuple of (int, int)
+        Priority of the request; the lowest is the most urgent.
     began_s : float
         Monotonic time at which the request arrived.
     in_excess : bool
         Whether the request's customer has far more waiting than its share.
     """
+    first, second = priority
     excess = 1.0 if in_excess else 0.0
     if state.is_too_late():
         # In order of arrival, so that none of them waits forever.
-        return (1.0, 0.0, LATE, excess, began_s)
+        return (1.0, 0.0, 0.0, LATE, excess, began_s)
     if state.finish_s is not None and (
         state.finish_s < LATE_WORK_SHARE * state.remaining_work_s
     ):
-        return (0.0, float(priority), LATE, excess, began_s)
+        return (0.0, first, second, LATE, excess, began_s)
     if not state.under_way:
-        return (0.0, float(priority), NEW, excess, began_s)
+        return (0.0, first, second, NEW, excess, began_s)
     slack_s = min(state.slack_s(), DEFAULT_SLACK_S)
-    return (0.0, float(priority), UNDER_WAY, excess, began_s + slack_s)
+    return (0.0, first, second, UNDER_WAY, excess, began_s + slack_s)
--- a/lentilroad/request/program_policy.py
+++ b/lentilroad/request/program_policy.py
@@ -11,10 +11,14 @@
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.inbound import InboundRequest
 from lentilroad.request.program_admission import Admission, LoadOf, ProgramAdmission
-from lentilroad.request.program_order import waiting_rank, waits_in_excess
+from lentilroad.request.program_order import (
+    program_priority,
+    waiting_rank,
+    waits_in_excess,
+)
 from lentilroad.request.program_tracker import ProgramState, ProgramTracker
 from lentilroad.version.customers import Customer
-from lentilroad.version.routes import Route, request_priority
+from lentilroad.version.routes import Route
 
 WaitingByCustomer = Callable[[str], Mapping[str, int]]
 
@@ -99,7 +103,7 @@
         """
         customer = inbound.customer
         name = customer.name if customer is not None else ""
-        priority = request_priority(route, customer)
+        priority = program_priority(route, customer)
         admission = Admission()
         if not state.under_way:
             admission = self._admission.decide(
--- a/lentilroad/request/program_tracker.py
+++ b/lentilroad/request/program_tracker.py
@@ -9,6 +9,9 @@
 from lentilroad.request.inbound import InboundRequest
 from lentilroad.version.routes import Route, RouteKind
 
+# Priority of the customer, then of the route; the lowest is the most urgent.
+Priority = tuple[int, int]
+
 # Programs that an entry remembers, and for how long after their last request. Programs
 # end within seconds; the bound keeps the smallest entries within their memory.
 PROGRAMS_MAX = 4096
@@ -118,7 +121,7 @@
         self._programs: OrderedDict[str, _Program] = OrderedDict()
         self._routes: dict[str, _RouteTurns] = {}
         # Turns by service and priority.
-        self._priorities: dict[tuple[str, int], float] = {}
+        self._priorities: dict[tuple[str, Priority], float] = {}
         # Weight of a turn that arrives now; it grows instead of decaying all counts.
         self._scale = 1.0
         self._scaled_s = clock.monotonic_s()
@@ -157,7 +160,7 @@
         route: Route,
         service: str,
         state: ProgramState,
-        priority: int,
+        priority: Priority,
     ) -> None:
         """Record that a request was accepted, so that its program is under way."""
         self._remember(inbound, state, under_way=True)
@@ -195,7 +198,7 @@
             first += turns.counts[self._shortest(turns)]
         return total / first if first > 0.0 else 1.0
 
-    def urgent_share(self, service: str, priority: int) -> float:
+    def urgent_share(self, service: str, priority: Priority) -> float:
         """Return the share of a service's turns that are as urgent, or more so."""
         total = urgent = 0.0
         for (name, other_priority), weight in self._priorities.items():
