--- a/lentilroad/request/customer_shares.py
+++ b/lentilroad/request/customer_shares.py
@@ -17,7 +17,7 @@
 class _Arrivals:
     count: float
     updated_s: float
-    weight: float
+    weight: float | None
 
 
 class CustomerShares:
@@ -38,8 +38,15 @@
         self._clock = clock
         self._arrivals: dict[str, _Arrivals] = {}
 
-    def arrived(self, customer: str, weight: float) -> None:
-        """Record that a new program of a customer arrived."""
+    def arrived(self, customer: str, weight: float | None) -> None:
+        """Record that a new program of a customer arrived.
+
+        Parameters
+        ----------
+        weight : float or None
+            What the customer is entitled to, relative to others; None for the mean of
+            the customers that have a weight.
+        """
         now_s = self._clock.monotonic_s()
         found = self._arrivals.get(customer)
         if found is None:
@@ -47,7 +54,7 @@
             self._arrivals[customer] = found
         found.count = _decayed(found, now_s) + 1.0
         found.updated_s = now_s
-        found.weight = max(weight, 1e-9)
+        found.weight = weight
 
     def refused_share(self, customer: str, share: float) -> float:
         """Return which share of a customer's new programs is refused.
@@ -62,18 +69,22 @@
         if share >= 1.0:
             return 1.0
         now_s = self._clock.monotonic_s()
-        demands: list[tuple[float, float]] = []
+        counts: list[tuple[float, float | None]] = []
         for name, arrivals in list(self._arrivals.items()):
             count = _decayed(arrivals, now_s)
             if count < ARRIVALS_MIN:
                 del self._arrivals[name]
                 continue
-            demands.append((count, arrivals.weight))
+            counts.append((count, arrivals.weight))
         found = self._arrivals.get(customer)
         if found is None:
             return share
+        weights = [weight for _, weight in counts if weight is not None]
+        mean_weight = sum(weights) / len(weights) if weights else 1.0
+        demands = [(count, weight or mean_weight) for count, weight in counts]
         level = _fair_level(demands, (1.0 - share) * sum(count for count, _ in demands))
-        return max(0.0, 1.0 - level * found.weight / _decayed(found, now_s))
+        allowed = level * (found.weight or mean_weight)
+        return max(0.0, 1.0 - allowed / _decayed(found, now_s))
 
 
 def _decayed(arrivals: _Arrivals, now_s: float) -> float:
--- a/lentilroad/request/program_admission.py
+++ b/lentilroad/request/program_admission.py
@@ -134,7 +134,7 @@
         service: str,
         state: ProgramState,
         customer: str,
-        weight: float,
+        weight: float | None,
         priority: Priority,
         urgent_share: float,
         turns_per_program: float,
@@ -149,8 +149,8 @@
             State of the program.
         customer : str
             Name of the customer.
-        weight : float
-            Share of the service that the customer is entitled to, relative to others.
+        weight : float or None
+            What the customer is entitled to, relative to others; None if not stated.
         priority : tuple of (int, int)
             Priority of the request; the lowest is the most urgent.
         urgent_share : float
--- a/lentilroad/request/program_policy.py
+++ b/lentilroad/request/program_policy.py
@@ -22,8 +22,6 @@
 
 WaitingByCustomer = Callable[[str], Mapping[str, int]]
 
-# Weight of customers without a quota, relative to those with one.
-DEFAULT_WEIGHT = 1.0
 # Customers with counters of their own; the others are counted together.
 CUSTOMER_LABELS_MAX = 100
 OTHER_CUSTOMERS = "other"
@@ -110,7 +108,7 @@
                 service=service,
                 state=state,
                 customer=name,
-                weight=_weight(customer),
+                weight=_share_weight(customer),
                 priority=priority,
                 urgent_share=self._tracker.urgent_share(service, priority),
                 turns_per_program=self._tracker.turns_per_program(service),
@@ -161,7 +159,8 @@
         )
 
 
-def _weight(customer: Customer | None) -> float:
+def _share_weight(customer: Customer | None) -> float | None:
+    """Return the quota by which a customer's share is weighed, or None."""
     if customer is None or not customer.is_limited():
-        return DEFAULT_WEIGHT
+        return None
     return customer.rate_per_s
--- a/tests/request/test_program_admission.py
+++ b/tests/request/test_program_admission.py
@@ -195,9 +195,9 @@
     """Guard against customers refused because another sends many times its usual."""
     shares = CustomerShares(clock=ManualClock())
     for _ in range(12):
-        shares.arrived("hot", 1.0)
+        shares.arrived("hot", 100.0)
     for number in range(6):
-        shares.arrived(f"c-{number}", 1.0)
+        shares.arrived(f"c-{number}", None)
     assert shares.refused_share("c-0", 0.5) == 0.0
     assert abs(shares.refused_share("hot", 0.5) - 0.75) < 1e-9
     assert shares.refused_share("c-0", 1.0) == 1.0
