--- a/lentilroad/request/service_load.py
+++ b/lentilroad/request/service_load.py
@@ -59,9 +59,14 @@
     completed: int
     slots: int
 
+    def total(self) -> int:
+        """Return all requests, in flight or waiting."""
+        in_flight = sum(self.in_flight.values())
+        return in_flight + self.waiting_under_way + self.waiting_new
+
     def is_idle(self) -> bool:
         """Return whether no request is in flight or waits."""
-        return not (self.in_flight or self.waiting_under_way or self.waiting_new)
+        return self.total() == 0
 
 
 class SlotLimits(Protocol):
@@ -71,6 +76,10 @@
         """Return how many requests may be in flight, or None for no limit."""
         ...
 
+    def has_unused(self, service: str) -> bool:
+        """Return whether all entries together ask for less than there is."""
+        ...
+
     def record_held(self, service: str) -> None:
         """Record that a request has to wait."""
         ...
@@ -85,5 +94,9 @@
         """Return None."""
         return None
 
+    def has_unused(self, service: str) -> bool:
+        """Return False: nothing is known of the other entries."""
+        return False
+
     def record_held(self, service: str) -> None:
         """Do nothing."""
--- a/lentilroad/request/shared_load.py
+++ b/lentilroad/request/shared_load.py
@@ -58,6 +58,8 @@
 
     Attributes
     ----------
+    own_demand : int
+        Requests of this entry, in flight or waiting, at its last report.
     expires_s : float
         Monotonic time until which the allowance is valid.
     """
@@ -65,6 +67,7 @@
     load: ServiceLoad
     allowance: int
     interval_s: float
+    own_demand: int
     expires_s: float
     expired: bool = False
 
@@ -74,6 +77,11 @@
         demand = load.in_flight + load.waiting_under_way + load.waiting_new
         return demand < SLOT_FACTOR * load.slots
 
+    def may_grow(self) -> bool:
+        """Return whether a report of more demand leads to a larger allowance soon."""
+        equal_part = SLOT_FACTOR * self.load.slots / max(1, self.load.entries)
+        return self.has_unused() or self.own_demand < equal_part
+
 
 @dataclass(slots=True, kw_only=True)
 class _Failure:
@@ -148,10 +156,17 @@
             return view.allowance
         return self._local_share(view)
 
+    def has_unused(self, service: str) -> bool:
+        """Return whether all entries together ask for less than there is."""
+        view = self._views.get(service)
+        if view is None or view.expired or not self._competing(service):
+            return False
+        return view.has_unused()
+
     def record_held(self, service: str) -> None:
-        """Report soon, since a request waits although slots may be free."""
+        """Report soon, since a request waits although it may be entitled to a slot."""
         view = self._views.get(service)
-        if view is not None and view.has_unused():
+        if view is not None and view.may_grow():
             self._held.set()
 
     def load(self, service: str) -> ServiceLoad | None:
@@ -326,6 +341,7 @@
             ),
             allowance=allowance,
             interval_s=max(REPORT_INTERVAL_S, reply.interval_s),
+            own_demand=own.total(),
             expires_s=now_s
             + max(ALLOWANCE_EXPIRY_S, ALLOWANCE_EXPIRY_INTERVALS * reply.interval_s),
         )
