--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -47,6 +47,7 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
+from lentilroad.request.program_policy import ProgramPolicy
 from lentilroad.request.quota import QuotaClient
 from lentilroad.request.shared_load import SharedLoad
 from lentilroad.version.customers import Customer
@@ -179,6 +180,12 @@
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
+        programs=ProgramPolicy(
+            clock=clock,
+            load=shared_load.load,
+            waiting=dispatcher.waiting_by_customer,
+            telemetry=telemetry,
+        ),
         keys_confirmed=lambda: _is_recent(
             lists.copies[CONFIGURATION_KEY], settings.bounds.revoke_s
         ),
--- a/lentilroad/request/dispatch.py
+++ b/lentilroad/request/dispatch.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
@@ -75,6 +75,7 @@
         "rate_until_s",
         "slots",
         "waiting",
+        "waiting_by_customer",
     )
 
     def __init__(self, *, name: str, index: InstanceIndex) -> None:
@@ -85,9 +86,27 @@
         self.completed = 0
         self.slots = 0
         self.waiting: SortedDict[_QueueKey, _Waiter] = SortedDict()
+        self.waiting_by_customer: dict[str, int] = {}
         self.rate_per_s = 0.0
         self.rate_until_s = float("-inf")
 
+    def add_waiting(self, key: _QueueKey, waiter: _Waiter) -> None:
+        """Add a request to the queue."""
+        self.waiting[key] = waiter
+        customer = waiter.request.customer
+        count = self.waiting_by_customer.get(customer, 0)
+        self.waiting_by_customer[customer] = count + 1
+
+    def remove_waiting(self, key: _QueueKey) -> None:
+        """Remove a request from the queue if it is still there."""
+        waiter = self.waiting.pop(key, None)
+        if waiter is None:
+            return
+        customer = waiter.request.customer
+        self.waiting_by_customer[customer] -= 1
+        if not self.waiting_by_customer[customer]:
+            del self.waiting_by_customer[customer]
+
     def record_sent(self, instance_id: str) -> None:
         """Count a request that gets a slot."""
         self.in_flight[instance_id] = self.in_flight.get(instance_id, 0) + 1
@@ -212,7 +231,7 @@
             deadline_s=deadline_s,
             slot=asyncio.get_running_loop().create_future(),
         )
-        service.waiting[key] = waiter
+        service.add_waiting(key, waiter)
         try:
             async with asyncio.timeout(deadline_s - self._clock.monotonic_s()):
                 return await self._granted_slot(service, key, waiter)
@@ -225,7 +244,7 @@
         try:
             return await waiter.slot
         except asyncio.CancelledError:
-            service.waiting.pop(key, None)
+            service.remove_waiting(key)
             if waiter.slot.done() and not waiter.slot.cancelled():
                 # The slot was granted just before the request was cancelled.
                 self.release(waiter.slot.result())
@@ -340,10 +359,14 @@
             wait_s = max(first_wait_s, position / rate_per_s if rate_per_s else 0.0)
             if now_s + wait_s <= waiter.deadline_s:
                 continue
-            del service.waiting[key]
+            service.remove_waiting(key)
             if not waiter.slot.done():
                 waiter.slot.set_exception(self._missed_deadline_error(waiter.request))
 
+    def waiting_by_customer(self, service: str) -> Mapping[str, int]:
+        """Return the number of waiting requests of a service by customer."""
+        return self._service(service).waiting_by_customer
+
     def waiting_count(self, service: str) -> int:
         """Return the number of requests that wait for a service."""
         return len(self._service(service).waiting)
@@ -556,7 +579,7 @@
     def _grant(
         self, service: _Service, key: _QueueKey, waiter: _Waiter, state: UpstreamState
     ) -> None:
-        del service.waiting[key]
+        service.remove_waiting(key)
         if not waiter.slot.done():
             waiter.slot.set_result(self._acquire_slot(state, waiter.request))
 
