--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -51,6 +51,10 @@
     added_in : str
         Region of a machine that is added to a running deployment; empty for the
         machines of its first start.
+    memory_mb : int
+        Memory of the machine.
+    file_descriptors : int
+        Descriptors that the process may open.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
         folder: Path,
         store_address: str,
         added_in: str = "",
+        memory_mb: int = 256,
+        file_descriptors: int = 4100,
     ) -> None:
         self.role = role
         self.name = f"{role}-{number}"
@@ -85,6 +91,8 @@
         self._folder = folder / self.name
         self._store_address = store_address
         self._first_start = not added_in
+        self._memory_mb = memory_mb
+        self._file_descriptors = file_descriptors
         self._folder.mkdir(parents=True)
 
     async def start(self) -> None:
@@ -153,7 +161,8 @@
 Frontend = "{self.ip}:{CLIENT_PORT}"
 Ready = "{self.ip}:{READY_PORT}"
 [Limits]
-MemoryMb = 256
+MemoryMb = {self._memory_mb}
+FileDescriptors = {self._file_descriptors}
 DiskMb = 64
 [FaultTolerance]
 Machines = 1
