Bound what callers make an entry hold by its memory and descriptors

Cause: a body was read to its end or its limit for each connection, an answer was kept until its caller had read it, and no number of connections was refused. MemoryMb and FileDescriptors were not used.

Change: request bodies and large answers each have a budget of bytes, derived from MemoryMb less an eighth and the process's own size. A body gets its room before it is read; a quarter is for bodies up to 64 KiB. Requests wait up to 2 s for room (smaller ones first), then get 503 with Retry-After. While others wait, bodies and answers that stall for 0.5 s or need more than a second per MiB are broken off. A Content-Length over the limit gets 413 at once. Connections are limited by descriptors and memory; the oldest one without a request gives way. Unread answers end after the idle timeout. The readiness and metrics servers use the same connections. Connections to upstreams buffer 64 KiB instead of 256.

--- a/lentilroad/connection/const.py
+++ b/lentilroad/connection/const.py
@@ -9,7 +9,8 @@
 STALL_TOLERANCE_S = 0.5
 HTTP2_WINDOW_BYTES = 4 * 2**20
 SHUTDOWN_GRACE_S = 30.0
-HTTP_BUFFER_LIMIT_BYTES = 256 * 1024
+HTTP_BUFFER_LIMIT_BYTES = 64 * 1024
+HTTP_READ_BYTES = 64 * 1024
 # Limit of non-body bytes in an exchange: heads, trailers and chunk framing. A head
 # takes a few hundred bytes; the framing of a one-byte chunk takes six.
 HTTP_OVERHEAD_LIMIT_BYTES = 64 * 1024
--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -14,6 +14,7 @@
     HTTP_BUFFER_LIMIT_BYTES,
     HTTP_OVERHEAD_BYTES_PER_BODY_BYTE,
     HTTP_OVERHEAD_LIMIT_BYTES,
+    HTTP_READ_BYTES,
     HTTP_SINGLE_WRITE_MAX_BYTES,
     HTTP_SKIPPED_LIMIT_BYTES,
     TCP_KEEPALIVE_IDLE_S,
@@ -26,6 +27,10 @@
 
 Header = tuple[bytes, bytes]
 
+# A read ends before the next one begins. Bounds what one read adds to the chunks that
+# wait for a slow reader; uvloop would read 256 KB at once.
+_READ_BUFFER = memoryview(bytearray(HTTP_READ_BYTES))
+
 
 class ExchangeBrokenError(LentilroadError):
     """The connection failed before the response was complete.
@@ -82,7 +87,7 @@
         return self._values.get(lower_name)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One HTTP/1.1 connection to a server, created by `open_connection`.
 
     Bytes received while no exchange is open, or after a complete response, belong to
@@ -124,6 +129,14 @@
         if connected is not None:
             enable_dead_peer_detection(connected)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the next read, which all connections share."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes of one read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes as part of the open exchange."""
         if self._parser is None:
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 
 from lentilroad.clock import Clock, SystemClock
+from lentilroad.connection.open_connections import OpenConnections
 from lentilroad.connection.peers import PeerConnections
 from lentilroad.connection.server import start_server
 from lentilroad.conversation.allowance import GrantManager
@@ -34,6 +35,7 @@
 from lentilroad.platform.requests import decode_request, worker_protocol
 from lentilroad.platform.settings import ProcessSettings
 from lentilroad.platform.workers import WORKER_PREFIX, decode_worker
+from lentilroad.process.caller_bounds import caller_bounds, own_memory_bytes
 from lentilroad.process.events import log_event
 from lentilroad.process.gateway import (
     GatewayState,
@@ -43,6 +45,7 @@
 from lentilroad.process.run import run_until
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.process.text_server import serve_text
+from lentilroad.request.caller_memory import CallerMemory
 from lentilroad.request.crash_suspects import CrashSuspects
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
@@ -62,6 +65,18 @@
     """Serve callers that connect to `listener` until SIGTERM."""
     clock = SystemClock()
     telemetry = Telemetry()
+    bounds = caller_bounds(
+        memory_mb=settings.memory_mb,
+        file_descriptors=settings.file_descriptors,
+        own_bytes=own_memory_bytes(),
+    )
+    memory = CallerMemory(
+        clock=clock,
+        telemetry=telemetry,
+        bodies_bytes=bounds.bodies_bytes,
+        answers_bytes=bounds.answers_bytes,
+    )
+    open_connections = OpenConnections(max_connections=bounds.connections)
     state = GatewayState()
     peers = PeerConnections(clock=clock)
     metadata = MetadataClient(address=settings.metadata_address, clock=clock)
@@ -141,8 +156,11 @@
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
+        memory=memory,
     )
     telemetry.add_gauge("open_requests", lambda: ingress.open_requests)
+    telemetry.add_gauge("bytes_held", memory.held_bytes)
+    telemetry.add_gauge("caller_connections", open_connections.count)
     telemetry.add_gauge("metadata_calls", lambda: metadata.calls)
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
@@ -178,11 +196,24 @@
         settings.ip,
         settings.peer_port,
     )
-    runner = await serve_callers(listener, ingress, state)
-    await serve_text(settings.readiness_address, {"/readiness": readiness})
+    runner = await serve_callers(
+        listener,
+        ingress,
+        state,
+        open_connections=open_connections,
+        telemetry=telemetry,
+    )
+    await serve_text(
+        settings.readiness_address,
+        {"/readiness": readiness},
+        max_connections=bounds.text_connections,
+        telemetry=telemetry,
+    )
     await serve_text(
         f"{settings.ip}:{settings.metrics_port}",
         {"/metrics": lambda: (200, telemetry.text())},
+        max_connections=bounds.text_connections,
+        telemetry=telemetry,
     )
     stop = sigterm_event()
     background = [
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -10,6 +10,8 @@
 from lentilroad.errors import ConfigurationError
 
 SETTINGS_VARIABLE = "LENTILROAD_BOOT"
+# Used where the settings state no limit; Linux has the same default.
+DEFAULT_FILE_DESCRIPTORS = 1024
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -53,6 +55,7 @@
     first_start: bool
     losses_tolerated: int
     memory_mb: int
+    file_descriptors: int
     disk_mb: int
     cpu_cores: float
     bounds: TimeBounds
@@ -131,6 +134,12 @@
         first_start=bool(document.get("Bootstrap", False)),
         losses_tolerated=int(_number(document, "FaultTolerance.Machines")),
         memory_mb=int(_number({"Limits": limits}, "Limits.MemoryMb")),
+        file_descriptors=int(
+            _number(
+                {"Limits": {"FileDescriptors": DEFAULT_FILE_DESCRIPTORS, **limits}},
+                "Limits.FileDescriptors",
+            )
+        ),
         disk_mb=int(_number({"Limits": limits}, "Limits.DiskMb")),
         cpu_cores=float(limits.get("CpuShare", 1.0)),
         bounds=TimeBounds(
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -74,6 +74,7 @@
 from lentilroad.process.run import run_until
 
 BYTES_PER_MB = 2**20
+METRICS_CONNECTIONS = 16
 STATUS_RETRY_INTERVAL_S = 0.25
 
 
@@ -227,6 +228,8 @@
     await serve_text(
         f"{settings.ip}:{settings.metrics_port}",
         {"/metrics": lambda: (200, telemetry.text())},
+        max_connections=METRICS_CONNECTIONS,
+        telemetry=telemetry,
     )
     telemetry.add_gauge("oldest_list_age_s", lists.oldest_age_s)
     stop = sigterm_event()
--- a/lentilroad/process/gateway.py
+++ b/lentilroad/process/gateway.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
 
 from lentilroad.clock import Clock
+from lentilroad.connection.open_connections import OpenConnections
+from lentilroad.process.caller_connection import BoundedServer
 from lentilroad.process.events import log_event
+from lentilroad.process.telemetry import Telemetry
 from lentilroad.process.text_server import start_site
 from lentilroad.request.ingress import Ingress
 from lentilroad.version.routes import ClientLimits, RouteTable
@@ -27,14 +28,7 @@
 # Largest share of a short grace period that each margin takes.
 MAX_MARGIN_SHARE = 0.2
 STOP_POLL_INTERVAL_S = 0.05
-# Limit of one header line; the operators' limits apply to all headers together.
-MAX_HEADER_LINE_BYTES = 16384
-# Allowed bytes of one request and the next head per byte of the body limit. A chunk of
-# one byte takes six bytes.
-RECEIVED_BYTES_PER_BODY_BYTE = 8
-MIN_COUNTED_BODY_BYTES = 65536
-# Allowance for network delay of callers that send their head within the limit.
-HEADER_TIMEOUT_MARGIN_S = 0.5
+SEND_BUFFER_BYTES = 128 * 1024
 
 
 @dataclass(slots=True, kw_only=True)
@@ -56,105 +50,25 @@
         return ClientLimits() if self.table is None else self.table.limits
 
 
-class _CallerConnection(web.RequestHandler):
-    """Connection of a caller with limits on received bytes and on slow heads.
-
-    aiohttp limits the length of each line, but not the number of empty lines, the
-    framing of chunks, or the time that the first head may take.
-    """
-
-    __slots__ = ("_head_timer", "_is_request_open", "_limits", "_received_bytes")
-
-    def __init__(self, manager: web.Server, limits: ClientLimits) -> None:
-        super().__init__(
-            manager,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
-            keepalive_timeout=limits.idle_timeout_s,
-            lingering_time=0.0,
-            # Bodies are forwarded unchanged, with the caller's Content-Encoding.
-            auto_decompress=False,
-        )
-        self._limits = limits
-        self._received_bytes = 0
-        self._is_request_open = False
-        self._head_timer: asyncio.TimerHandle | None = None
-
-    def data_received(self, data: bytes) -> None:
-        """Count the received bytes and start the timeout of a request's head."""
-        self._received_bytes += len(data)
-        limits = self._limits
-        allowed_bytes = limits.max_header_bytes + (
-            RECEIVED_BYTES_PER_BODY_BYTE
-            * max(limits.max_body_bytes, MIN_COUNTED_BODY_BYTES)
-        )
-        if self._received_bytes > allowed_bytes:
-            self._abort("the request exceeds the limit of received bytes")
-            return
-        if not self._is_request_open and self._head_timer is None:
-            self._head_timer = asyncio.get_running_loop().call_later(
-                limits.header_timeout_s + HEADER_TIMEOUT_MARGIN_S,
-                lambda: self._abort("timeout while reading the head of a request"),
-            )
-        super().data_received(data)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timeout of a request's head."""
-        self._cancel_timer()
-        super().connection_lost(exc)
-
-    def set_request_open(self, *, is_open: bool) -> None:
-        """Record that a request's head was read, or that the request has ended."""
-        self._is_request_open = is_open
-        self._received_bytes = 0
-        self._cancel_timer()
-
-    def _cancel_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _abort(self, reason: str) -> None:
-        if self.transport is None:
-            return
-        log_event(
-            "caller_connection_closed",
-            reason=reason,
-            received_bytes=self._received_bytes,
-        )
-        self.transport.abort()
-
-
-class _CallerServer(web.Server):
-    """Server that applies the limits in force to each new connection."""
-
-    def __init__(
-        self, handler: Callable[..., Awaitable[web.StreamResponse]], state: GatewayState
-    ) -> None:
-        super().__init__(handler, handler_cancellation=True)
-        self._state = state
-
-    def __call__(self) -> web.RequestHandler:
-        return _CallerConnection(self, self._state.limits())
-
-
 async def serve_callers(
-    listener: socket.socket, ingress: Ingress, state: GatewayState
+    listener: socket.socket,
+    ingress: Ingress,
+    state: GatewayState,
+    *,
+    open_connections: OpenConnections,
+    telemetry: Telemetry,
 ) -> web.ServerRunner:
     """Accept connections of callers on a bound socket."""
-
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        connection = request.protocol
-        assert isinstance(connection, _CallerConnection)
-        connection.set_request_open(is_open=True)
-        try:
-            return await ingress.handle(request)
-        finally:
-            connection.set_request_open(is_open=False)
-
-    return await start_site(_CallerServer(handle, state), listener)
+    server = BoundedServer(
+        ingress.handle,
+        limits=state.limits,
+        open_connections=open_connections,
+        telemetry=telemetry,
+    )
+    # Connections inherit it. The kernel would take up to 4 MB of an answer that its
+    # caller does not read.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    return await start_site(server, listener)
 
 
 async def drain(
--- a/lentilroad/process/text_server.py
+++ b/lentilroad/process/text_server.py
@@ -9,10 +9,21 @@
 
 from lentilroad.connection.const import LISTEN_BACKLOG
 from lentilroad.connection.listener import open_listener, split_address
+from lentilroad.connection.open_connections import OpenConnections
+from lentilroad.process.caller_connection import BoundedServer
+from lentilroad.process.telemetry import Telemetry
+from lentilroad.version.routes import ClientLimits
+
+# Requests for text have no body.
+_LIMITS = ClientLimits(max_body_bytes=0)
 
 
 async def serve_text(
-    address: str, handlers: dict[str, Callable[[], tuple[int, str]]]
+    address: str,
+    handlers: dict[str, Callable[[], tuple[int, str]]],
+    *,
+    max_connections: int,
+    telemetry: Telemetry,
 ) -> web.ServerRunner:
     """Serve plain text; `handlers` returns status and text for each path."""
 
@@ -24,7 +35,13 @@
         return web.Response(status=status, text=text)
 
     listener = open_listener(*split_address(address))
-    return await start_site(web.Server(handle, access_log=None), listener)
+    server = BoundedServer(
+        handle,
+        limits=lambda: _LIMITS,
+        open_connections=OpenConnections(max_connections=max_connections),
+        telemetry=telemetry,
+    )
+    return await start_site(server, listener)
 
 
 async def start_site(server: web.Server, listener: socket.socket) -> web.ServerRunner:
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
 
+from lentilroad.connection.byte_budget import SMALL_HOLD_BYTES, Hold
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.errors import LentilroadError, UpstreamError
 from lentilroad.membership.crash_messages import Fingerprint
@@ -61,6 +63,8 @@
     after_event : str
         Id of the event after which the next run resumes the stream; empty for its
         beginning.
+    body_hold, answer_hold : Hold or None
+        Room for the request's body and for a large answer.
     """
 
     inbound: InboundRequest
@@ -84,6 +88,8 @@
     response_started: bool = False
     after_event: str = ""
     stops_at_deadline: bool = False
+    body_hold: Hold | None = None
+    answer_hold: Hold | None = None
 
     def stop_by(self, time_s: float) -> bool:
         """Move the deadline to the end of the process; return whether it is earlier."""
@@ -126,10 +132,24 @@
 
 
 async def read_response(
-    connection: HttpConnection, head: ResponseHead, protocol: UpstreamProtocol
+    connection: HttpConnection,
+    head: ResponseHead,
+    protocol: UpstreamProtocol,
+    make_room: Callable[[int], Awaitable[None]] | None = None,
 ) -> BufferedResponse:
     """Read the complete body of a response.
 
+    Parameters
+    ----------
+    connection : HttpConnection
+        Connection after the head of the response.
+    head : ResponseHead
+        Head of the response.
+    protocol : UpstreamProtocol
+        Decodes the headers.
+    make_room : callable, optional
+        Waits for room for the bytes of a large body; the instance waits meanwhile.
+
     Raises
     ------
     ExchangeBrokenError
@@ -140,6 +160,9 @@
     body = bytearray()
     while chunk := await connection.next_chunk():
         body += chunk
+        if make_room is not None and len(body) > SMALL_HOLD_BYTES:
+            await make_room(_announced_bytes(head))
+            make_room = None
         if len(body) > ANSWER_MAX_BYTES:
             raise UpstreamError(
                 f"the response is larger than {ANSWER_MAX_BYTES} bytes",
@@ -148,3 +171,11 @@
     return BufferedResponse(
         status=head.status, headers=protocol.forwarded_headers(head), body=bytes(body)
     )
+
+
+def _announced_bytes(head: ResponseHead) -> int:
+    """Return the size that a head announces, or the largest one that is read."""
+    length = head.value(b"content-length")
+    if length is None or not length.isdigit():
+        return ANSWER_MAX_BYTES
+    return min(int(length), ANSWER_MAX_BYTES)
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from lentilroad.clock import Clock
+from lentilroad.connection.byte_budget import Hold
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.conversation.turns import TurnManager
 from lentilroad.errors import (
@@ -28,6 +30,7 @@
 from lentilroad.process.telemetry import Telemetry
 from lentilroad.request.attempts import AttemptRunner
 from lentilroad.request.caller_body import discard_body, read_body
+from lentilroad.request.caller_memory import CallerMemory
 from lentilroad.request.const import (
     DEADLINE_MARGIN_S,
     SERVICE_RETRY_AFTER_MAX_S,
@@ -88,6 +91,8 @@
         Called with an instance that stated another rate limit than before.
     suspects : CrashSuspects
         Requests that may crash the instances that run them.
+    memory : CallerMemory
+        Room for bodies and for answers that callers have not read yet.
     """
 
     def __init__(
@@ -105,8 +110,10 @@
         on_unresponsive: Callable[[UpstreamState], None],
         on_rate_limit: Callable[[UpstreamState], None],
         suspects: CrashSuspects,
+        memory: CallerMemory,
     ) -> None:
         self._table = table
+        self._memory = memory
         self._decode = decode
         self._protocol = protocol
         self._dispatcher = dispatcher
@@ -175,14 +182,18 @@
             )
             request_id = inbound.request_id
             exchange = self._route(table, inbound, request, began_s)
-            inbound.body = await read_body(
+            inbound.body, exchange.body_hold = await read_body(
                 request,
                 table.limits.max_body_bytes,
                 timeout_s=exchange.deadline_at_s - self._clock.monotonic_s(),
+                memory=self._memory,
             )
             if exchange.route.retains_conversation or inbound.has_token_budget():
                 await self._wait_until_ready(turns=True)
-            return await self._serve(exchange)
+            response = await self._serve(exchange)
+            if exchange.answer_hold is not None:
+                await self._send_large(exchange, exchange.answer_hold, response)
+            return response
         except LentilroadError as error:
             if exchange is not None and exchange.response_started:
                 await self._abort_response(exchange, error)
@@ -209,6 +220,9 @@
             )
             self._telemetry.count("callers_left")
             raise
+        finally:
+            if exchange is not None:
+                self._release_memory(exchange)
 
     def _route(
         self,
@@ -265,11 +279,49 @@
         finally:
             self._serving.pop(id(exchange), None)
 
+    async def _hold_answer(self, exchange: Exchange, size_bytes: int) -> None:
+        """Wait for room for a large answer."""
+        if exchange.answer_hold is not None:
+            # Of an earlier attempt whose answer broke off.
+            self._memory.answers.release(exchange.answer_hold)
+            exchange.answer_hold = None
+
+        def close_connection() -> None:
+            if exchange.request.transport is not None:
+                exchange.request.transport.abort()
+
+        exchange.answer_hold = await self._memory.hold_answer(
+            size_bytes, on_evict=close_connection
+        )
+
+    async def _send_large(
+        self, exchange: Exchange, hold: Hold, response: web.StreamResponse
+    ) -> None:
+        """Send a large answer while its room is held."""
+        self._memory.begin_transfer(hold)
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(exchange.request)
+            await response.write_eof()
+        if isinstance(response, web.Response):
+            # aiohttp keeps the response until the connection's next request.
+            response.body = None
+
+    def _release_memory(self, exchange: Exchange) -> None:
+        if exchange.body_hold is not None:
+            self._memory.bodies.release(exchange.body_hold)
+        if exchange.answer_hold is not None:
+            self._memory.answers.release(exchange.answer_hold)
+
     async def _serve_call(self, exchange: Exchange) -> web.StreamResponse:
         async def read(
             connection: HttpConnection, head: ResponseHead, can_fail_over: bool
         ) -> BufferedResponse:
-            return await read_response(connection, head, self._protocol)
+            return await read_response(
+                connection,
+                head,
+                self._protocol,
+                lambda size_bytes: self._hold_answer(exchange, size_bytes),
+            )
 
         response = await self._attempts.run(
             exchange, self._placement_request(exchange), exchange.inbound.body, read
@@ -293,6 +345,7 @@
                 telemetry=self._telemetry,
                 stopping=self._stopping,
                 release=self._attempts.release,
+                make_room=lambda size_bytes: self._hold_answer(exchange, size_bytes),
             )
             placement = self._placement_request(exchange)
             placement.preferred_instance_id = turn.preferred_instance
@@ -399,7 +452,8 @@
         )
         if error.retry_after_ms is not None and status in (429, 503):
             response.headers["Retry-After"] = f"{error.retry_after_ms / 1000:.3f}"
-        if self._stopping():
+        if self._stopping() or (request.body_exists and not request.content.at_eof()):
+            # Bytes of a body that is not read any more cannot precede a request.
             response.force_close()
         return response
 
--- a/lentilroad/request/streaming.py
+++ b/lentilroad/request/streaming.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -49,12 +49,15 @@
         Returns whether the process is stopping.
     release : callable
         Releases the slot of the instance.
+    make_room : callable
+        Waits for room for a large answer that is not a stream.
     """
 
     __slots__ = (
         "_clock",
         "_exchange",
         "_last_progress_s",
+        "_make_room",
         "_protocol",
         "_release",
         "_response",
@@ -73,6 +76,7 @@
         telemetry: Telemetry,
         stopping: Callable[[], bool],
         release: Callable[[Exchange], None],
+        make_room: Callable[[int], Awaitable[None]],
     ) -> None:
         self._exchange = exchange
         self._turn = turn
@@ -81,6 +85,7 @@
         self._telemetry = telemetry
         self._stopping = stopping
         self._release = release
+        self._make_room = make_room
         self._response: web.StreamResponse | None = None
         self._last_progress_s = clock.monotonic_s()
 
@@ -95,7 +100,9 @@
                     "after the stream had started",
                     outcome="unknown",
                 )
-            return await read_response(connection, head, self._protocol)
+            return await read_response(
+                connection, head, self._protocol, self._make_room
+            )
         if self._response is None:
             # The response keeps the head and signature of the first run, also when
             # another run completes the stream.
--- a/tests/fakes/gateway.py
+++ b/tests/fakes/gateway.py
@@ -10,17 +10,20 @@
 
 from lentilroad.clock import SystemClock
 from lentilroad.connection.listener import open_listener
+from lentilroad.connection.open_connections import OpenConnections
 from lentilroad.conversation.turns import TurnManager
 from lentilroad.membership.upstreams import UpstreamDirectory, UpstreamInstance
 from lentilroad.platform.requests import decode_request, worker_protocol
 from lentilroad.process.gateway import GatewayState, serve_callers
 from lentilroad.process.telemetry import Telemetry
+from lentilroad.request.caller_memory import CallerMemory
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.version.routes import ClientLimits, Route, RouteTable, Service
 from tests.fakes.crashes import CrashCoordinatorGroup
 from tests.fakes.permits import CoordinatorGroup
 
+POOL_BYTES = 64 * 2**20
 ATTEMPT_ID = "Lentilroad-Attempt-Id"
 
 
@@ -73,6 +76,7 @@
     turns = fields.get("turns") or TurnManager(
         storage=None, grant_manager=None, clock=clock
     )
+    telemetry = Telemetry()
     ingress = Ingress(
         table=lambda: state.table,
         decode=decode_request,
@@ -88,14 +92,27 @@
         ),
         turns=turns,
         clock=clock,
-        telemetry=Telemetry(),
+        telemetry=telemetry,
+        memory=fields.get("memory")
+        or CallerMemory(
+            clock=clock,
+            telemetry=telemetry,
+            bodies_bytes=POOL_BYTES,
+            answers_bytes=POOL_BYTES,
+        ),
         stopping=lambda: state.stopping,
         wait_until_ready=fields.get("wait_until_ready", ready_at_once),
         on_unresponsive=fields.get("on_unresponsive", lambda state: None),
         on_rate_limit=permits.report,
         suspects=suspects,
     )
-    runner = await serve_callers(open_listener("127.0.0.1", 0), ingress, state)
+    runner = await serve_callers(
+        open_listener("127.0.0.1", 0),
+        ingress,
+        state,
+        open_connections=OpenConnections(max_connections=1000),
+        telemetry=telemetry,
+    )
     host, port = runner.addresses[0][:2]
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(
