Treat a status outside 200 to 599 as a broken answer of an instance

Cause: statuses such as 000, 99, 600 and 999 were forwarded; a status of 000 reached the caller as HTTP/1.1 0, which clients take for a cut connection at best. A 101 without an upgrade waited for a further answer.

Change: the reader of instances' answers fails the exchange and closes the connection for a status below 100 or above 599 and for 101. The outcome is unknown: another attempt where the route allows it, else 502.

--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import cast
 
 import httptools
@@ -296,7 +297,13 @@
         status = self._parser.get_status_code()
         head = ResponseHead(status=status, headers=self._headers)
         self._headers = []
-        if 100 <= status < 200:
+        if not _is_valid_status(status):
+            # Skips the rest of this read.
+            self._skipping = True
+            self._fail(f"the server responded with status {status:03}")
+            self.abort()
+            return
+        if status < 200:
             self._skipping = True
             return
         if self._expects is not None and not self._expects(head):
@@ -373,6 +380,11 @@
             waiter.set_result(None)
 
 
+def _is_valid_status(status: int) -> bool:
+    """Return whether a response may have a status; no request asks for an upgrade."""
+    return 100 <= status <= 599 and status != HTTPStatus.SWITCHING_PROTOCOLS
+
+
 def enable_dead_peer_detection(connected: socket.socket) -> None:
     """Let the kernel close a connection whose peer no longer responds."""
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/connection/test_http_exchange.py
+++ b/tests/connection/test_http_exchange.py
@@ -160,3 +160,64 @@
     stated = ResponseHead(status=200, headers=[(b"Keep-Alive", b"timeout=3")])
     assert 0.0 < keep_alive_s(stated) < 3.0
     assert keep_alive_s(ResponseHead(status=200, headers=[])) > 0.0
+
+
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 000 Failed",
+        b"HTTP/1.1 0 Failed",
+        b"HTTP/1.1 99 Failed",
+        b"HTTP/1.1 20 OK",
+        b"HTTP/1.1 2000 OK",
+        b"HTTP/1.1 600 Failed",
+        b"HTTP/1.1 999 Failed",
+        b"HTTP/1.1 -20 Failed",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c",
+    ],
+)
+async def test_status_outside_the_protocol_breaks_the_exchange(
+    status_line: bytes,
+) -> None:
+    """Guard against a status of a server in trouble that reaches callers (MIXED)."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(status_line + b"\r\nContent-Length: 2\r\n\r\nab")
+
+    async with raw_server(answer) as server:
+        connection = await open_connection(server.address, timeout_s=1.0)
+        with pytest.raises(ExchangeBrokenError) as caught:
+            async with asyncio.timeout(5.0):
+                await connection.exchange(REQUEST, b"")
+        assert caught.value.outcome == "unknown"
+        assert connection.closed
+
+
+async def test_interim_responses_without_end_break_the_exchange() -> None:
+    """Guard against a server that never comes to its answer."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n" * 100)
+            await writer.drain()
+
+    async with raw_server(answer) as server:
+        connection = await open_connection(server.address, timeout_s=1.0)
+        with pytest.raises(ExchangeBrokenError):
+            async with asyncio.timeout(10.0):
+                await connection.exchange(REQUEST, b"")
+        assert connection.closed
+
+
+async def test_interim_response_before_the_answer_is_skipped() -> None:
+    """Guard against refusing what the protocol allows."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n" + raw_response(b"abc"))
+
+    async with raw_server(answer) as server:
+        connection = await open_connection(server.address, timeout_s=1.0)
+        head = await connection.exchange(REQUEST, b"")
+        assert head.status == 200
+        assert await _read(connection) == b"abc"
--- a/tests/request/test_servers_in_trouble.py
+++ b/tests/request/test_servers_in_trouble.py
@@ -434,3 +434,23 @@
             ran |= {request.headers[ATTEMPT_ID.lower()] for request in worker.requests}
     assert len(ran) > 500
     assert [name for name in ran if not sent.get(name)] == []
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999", "101"])
+@pytest.mark.parametrize("kind", ["streaming", "idempotent", "non_idempotent"])
+async def test_status_outside_the_protocol_is_no_answer(kind: str, status: str) -> None:
+    """Guard against a status of a worker in trouble that reaches the caller (MIXED)."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        request_id = request.headers[ATTEMPT_ID.lower()]
+        writer.write(
+            f"HTTP/1.1 {status} x\r\n{ATTEMPT_ID}: {request_id}\r\n"
+            "Lentilroad-Response-Seal: s\r\nContent-Length: 2\r\n\r\nab".encode()
+        )
+
+    async with raw_server(answer) as server, _gateway(server.address) as gateway:
+        received, body = await _post(gateway, kind, "a")
+        assert received == 502
+        assert body != b"ab"
+        # The worker may have run it.
+        assert len(server.requests) == 1
