Bound the memory that kept turns take, and free what broken requests hold

Cause: storage members keep the texts of all turns in memory, up to the size of the disk. Bodies and turns of requests that failed were held until the garbage collector found the cycles of their frames and parsers, and growing buffers left gaps.

Change: a storage member refuses turns beyond half of its free memory, long ones beyond three quarters of that; entries use another member and stay ready. Large bodies of kept turns count eight times. Bodies are collected in pieces; failed exchanges and storage calls drop their references. Tests for tiny chunks, many fields ahead, heads without end and kept turns (120 clients, 1 MiB, MemoryMb 96).

--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -193,6 +193,10 @@
         if not self._complete:
             self._fail(f"the connection was lost ({error or 'closed by the server'})")
         self._wake_reader()
+        # The parser refers to this object, and `expects` to the request with its body:
+        # both would be held until the garbage collector finds them.
+        self._parser = None
+        self._expects = None
 
     async def exchange(
         self,
--- a/lentilroad/conversation/client.py
+++ b/lentilroad/conversation/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -23,6 +24,7 @@
 )
 from lentilroad.conversation.errors import (
     DiskRefusedError,
+    MemoryFullError,
     NotCaughtUpError,
     StaleMapError,
 )
@@ -472,10 +474,14 @@
         )
 
     def _record_failure(self, member: Member, error: BaseException) -> None:
+        # The frames of a failed call refer to one another and to the turn, which would
+        # be held until the garbage collector finds them.
+        traceback.clear_frames(error.__traceback__)
         if isinstance(error, DiskRefusedError):
             self._mark_read_only(member)
             return
-        replied = isinstance(error, (StaleMapError, NotCaughtUpError))
+        # A member whose memory is full still takes grants and smaller turns.
+        replied = isinstance(error, (StaleMapError, NotCaughtUpError, MemoryFullError))
         if not replied and member.disk_id not in self._unresponsive:
             self._unresponsive.add(member.disk_id)
             log_event(
--- a/lentilroad/conversation/const.py
+++ b/lentilroad/conversation/const.py
@@ -19,6 +19,10 @@
 DISK_MAX_USED_SHARE = 0.8
 # Used share of the disk at which a warning is logged.
 DISK_WARN_USED_SHARE = 0.6
+# Turns above this size use only a part of the memory for the texts of turns, so that
+# a few long ones leave room for all others.
+SMALL_TURN_BYTES = 64 * 1024
+LARGE_TURNS_MEMORY_SHARE = 0.75
 # Interval between write attempts to a disk that refused a write.
 DISK_RETRY_S = 0.5
 SWEEP_INTERVAL_S = 5.0
--- a/lentilroad/conversation/errors.py
+++ b/lentilroad/conversation/errors.py
@@ -29,3 +29,10 @@
     code = "disk_refused"
     http_status = 503
     default_outcome = "unknown"
+
+
+class MemoryFullError(LentilroadError):
+    """The texts of stored turns take all memory that is meant for them."""
+
+    code = "storage_memory_full"
+    http_status = 503
--- a/lentilroad/conversation/replica.py
+++ b/lentilroad/conversation/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
 
@@ -13,12 +14,15 @@
     DISK_MAX_USED_SHARE,
     DISK_STALL_S,
     DISK_WARN_USED_SHARE,
+    LARGE_TURNS_MEMORY_SHARE,
     LEDGER_RETENTION_S,
     PULL_BATCH_BYTES,
     RETENTION_MARGIN_S,
+    SMALL_TURN_BYTES,
 )
 from lentilroad.conversation.errors import (
     DiskRefusedError,
+    MemoryFullError,
     NotCaughtUpError,
     StaleMapError,
 )
@@ -117,6 +121,8 @@
         Lifetimes of the stored records.
     confirmed_until_s : callable
         See `lentilroad.conversation.lifetimes.LifetimeExchange`.
+    memory_bytes : float, optional
+        Bytes of the texts of turns, which are kept in memory.
     """
 
     def __init__(
@@ -132,8 +138,14 @@
         update_members: Callable[[int, bytes], None],
         lifetimes: LifetimeTable,
         confirmed_until_s: Callable[[], float],
+        memory_bytes: float = math.inf,
     ) -> None:
         self.disk_id = disk_id
+        self._memory_bytes = memory_bytes
+        # Texts of the stored turns, and of those that are being written.
+        self._turn_bytes = 0
+        self._writing_bytes = 0
+        self._memory_was_full = False
         # Newest assignment whose records this disk has copied; None if there is none.
         self.copied_assignment: int | None = None
         self._journal = journal
@@ -240,6 +252,8 @@
             The disk is about to be removed.
         DiskRefusedError
             The disk refused the write, or is too full.
+        MemoryFullError
+            The texts of stored turns take all memory that is meant for them.
         """
         if self._retiring:
             raise StaleMapError(
@@ -251,11 +265,23 @@
                 f"disk {self.disk_id} is {self._used_share:.0%} full; write to the "
                 "other storage members"
             )
+        size_bytes = sum(_text_bytes(record) for record in request.turns)
+        limit_bytes = self._memory_bytes
+        if size_bytes > SMALL_TURN_BYTES:
+            limit_bytes *= LARGE_TURNS_MEMORY_SHARE
+        if self.turn_bytes() + size_bytes > limit_bytes:
+            self._log_full_memory()
+            raise MemoryFullError(
+                f"the texts of turns fill the memory of disk {self.disk_id}; write to "
+                "the other storage members"
+            )
         write: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._turn_writes.add(write)
+        self._writing_bytes += size_bytes
         try:
             await self._write_turns(request)
         finally:
+            self._writing_bytes -= size_bytes
             self._turn_writes.discard(write)
             write.set_result(None)
         return StoreReply(disk_id=self.disk_id)
@@ -423,6 +449,16 @@
         refused = self._journal.refused_since_s is not None
         return not refused and self._used_share < DISK_MAX_USED_SHARE
 
+    def turn_bytes(self) -> int:
+        """Return the bytes of the texts of turns in memory."""
+        return self._turn_bytes + self._writing_bytes
+
+    def _log_full_memory(self) -> None:
+        if self._memory_was_full:
+            return
+        self._memory_was_full = True
+        log_event("turn_memory_full", disk=self.disk_id, turn_bytes=self.turn_bytes())
+
     def used_share(self) -> float:
         """Return the share of the disk in use at the last sweep."""
         return self._used_share
@@ -483,6 +519,8 @@
             for turn_id, stored in list(self._turns.items()):
                 if conversation_key(stored.conversation_id) in expired:
                     del self._turns[turn_id]
+                    self._turn_bytes -= _text_bytes(stored.record)
+                    self._memory_was_full = False
             for program_id in list(self._ledgers):
                 if program_key(program_id) in expired:
                     del self._ledgers[program_id]
@@ -548,6 +586,10 @@
             kept_s = record.kept_until_s - self._clock.time_s()
             assured_s = now_s + kept_s + RETENTION_MARGIN_S
         conversation_id = self._conversation_id(record)
+        replaced = self._turns.get(record.turn_id)
+        if replaced is not None:
+            self._turn_bytes -= _text_bytes(replaced.record)
+        self._turn_bytes += _text_bytes(record)
         self._turns[record.turn_id] = _StoredTurn(
             record=record, conversation_id=conversation_id, segment=segment
         )
@@ -591,3 +633,7 @@
     for grant in ledger.grants:
         synced_revision = stored.synced_revisions.get(grant.grant_id, -1)
         stored.synced_revisions[grant.grant_id] = max(synced_revision, grant.revision)
+
+
+def _text_bytes(record: TurnRecord) -> int:
+    return len(record.input) + len(record.output)
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -70,6 +70,7 @@
 from lentilroad.platform.metadata import MetadataClient, WriteConflictError
 from lentilroad.platform.settings import ProcessSettings
 from lentilroad.platform.workers import WORKER_PREFIX
+from lentilroad.process.caller_bounds import kept_turns_bytes, own_memory_bytes
 from lentilroad.process.events import log_event
 from lentilroad.process.run import run_until
 
@@ -123,6 +124,9 @@
         ),
         lifetimes=lifetime_table,
         confirmed_until_s=lambda: lifetimes.confirmed_until_s(),
+        memory_bytes=kept_turns_bytes(
+            memory_mb=settings.memory_mb, own_bytes=own_memory_bytes()
+        ),
     )
     lifetimes = LifetimeExchange(
         table=lifetime_table,
@@ -220,6 +224,7 @@
 
     telemetry = Telemetry()
     telemetry.add_gauge("turns_held", lambda: len(replica.turns()))
+    telemetry.add_gauge("turn_bytes_held", replica.turn_bytes)
     telemetry.add_gauge("disk_complete", lambda: int(joining.is_complete()))
     telemetry.add_gauge("disk_write_s", journal.pending_write_s)
     telemetry.add_gauge("disk_writable", lambda: int(replica.writable()))
--- a/lentilroad/request/caller_body.py
+++ b/lentilroad/request/caller_body.py
@@ -8,7 +8,8 @@
 from aiohttp import StreamReader, web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from lentilroad.connection.byte_budget import Hold
+from lentilroad.connection.byte_budget import SMALL_HOLD_BYTES, Hold
+from lentilroad.connection.byte_pieces import BytePieces
 from lentilroad.errors import RequestTooLargeError
 from lentilroad.request.caller_memory import CallerMemory
 from lentilroad.request.const import DISCARD_BODY_BYTES, DISCARD_BODY_S
@@ -16,7 +17,12 @@
 
 
 async def read_body(
-    request: web.BaseRequest, max_bytes: int, *, timeout_s: float, memory: CallerMemory
+    request: web.BaseRequest,
+    max_bytes: int,
+    *,
+    timeout_s: float,
+    memory: CallerMemory,
+    copies: int = 1,
 ) -> tuple[bytes, Hold | None]:
     """Read the complete body of a request, as soon as there is room for it.
 
@@ -30,6 +36,9 @@
         Seconds until the request's deadline.
     memory : CallerMemory
         Room for bodies.
+    copies : int, optional
+        Copies of a large body that the request needs at a time. Those of small bodies
+        exist too briefly to count.
 
     Returns
     -------
@@ -59,7 +68,7 @@
         # A small body in chunks that arrived with its head.
         size_bytes = content.total_bytes
     hold = await memory.hold_body(
-        max_bytes if size_bytes is None else size_bytes,
+        _held_bytes(max_bytes if size_bytes is None else size_bytes, copies),
         on_evict=lambda: content.set_exception(
             RequestTimeoutError(
                 "the request body arrived too slowly while other callers waited; "
@@ -80,10 +89,14 @@
     except BaseException:
         memory.bodies.release(hold)
         raise
-    memory.bodies.shrink(hold, len(body))
+    memory.bodies.shrink(hold, _held_bytes(len(body), copies))
     return body, hold
 
 
+def _held_bytes(size_bytes: int, copies: int) -> int:
+    return size_bytes if size_bytes <= SMALL_HOLD_BYTES else copies * size_bytes
+
+
 async def _read_content(
     content: StreamReader, max_bytes: int, hold: Hold, memory: CallerMemory
 ) -> bytes:
@@ -94,14 +107,19 @@
             raise _too_large(max_bytes)
         return body
     memory.begin_transfer(hold)
-    received = bytearray()
-    while chunk := await content.readany():
-        received += chunk
-        memory.record_progress(hold)
-        if len(received) > max_bytes:
-            raise _too_large(max_bytes)
+    received = BytePieces()
+    try:
+        while chunk := await content.readany():
+            received.add(chunk)
+            memory.record_progress(hold)
+            if received.size_bytes > max_bytes:
+                raise _too_large(max_bytes)
+    except BaseException:
+        # The traceback keeps this frame until the garbage collector finds it.
+        received.clear()
+        raise
     hold.end_transfer()
-    return bytes(received)
+    return received.join()
 
 
 def _too_large(max_bytes: int) -> RequestTooLargeError:
--- a/lentilroad/request/caller_memory.py
+++ b/lentilroad/request/caller_memory.py
@@ -92,8 +92,8 @@
             return hold
         self._telemetry.count("callers_refused", reason="no_memory")
         raise OverloadedError(
-            f"this entry has no memory for a body of {size_bytes} bytes; send the "
-            "request again or to another entry",
+            f"this entry has no {size_bytes} bytes of memory for the request's body; "
+            "send the request again or to another entry",
             retry_after_ms=RETRY_AFTER_MS,
         )
 
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from lentilroad.connection.byte_budget import SMALL_HOLD_BYTES, Hold
+from lentilroad.connection.byte_pieces import BytePieces
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.errors import LentilroadError, UpstreamError
 from lentilroad.membership.crash_messages import Fingerprint
@@ -157,19 +158,19 @@
     UpstreamError
         The body is larger than an entry buffers in memory.
     """
-    body = bytearray()
+    body = BytePieces()
     while chunk := await connection.next_chunk():
-        body += chunk
-        if make_room is not None and len(body) > SMALL_HOLD_BYTES:
+        body.add(chunk)
+        if make_room is not None and body.size_bytes > SMALL_HOLD_BYTES:
             await make_room(_announced_bytes(head))
             make_room = None
-        if len(body) > ANSWER_MAX_BYTES:
+        if body.size_bytes > ANSWER_MAX_BYTES:
             raise UpstreamError(
                 f"the response is larger than {ANSWER_MAX_BYTES} bytes",
                 outcome="unknown",
             )
     return BufferedResponse(
-        status=head.status, headers=protocol.forwarded_headers(head), body=bytes(body)
+        status=head.status, headers=protocol.forwarded_headers(head), body=body.join()
     )
 
 
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -50,6 +50,8 @@
 
 # Finish time that is assumed for programs that state none.
 DEFAULT_FINISH_S = 3600.0
+# The body of a turn that is kept is also encoded, sent to storage members and cached.
+KEPT_TURN_COPIES = 8
 
 DecodeRequest = Callable[[str, str, tuple[Header, ...]], InboundRequest]
 
@@ -187,6 +189,7 @@
                 table.limits.max_body_bytes,
                 timeout_s=exchange.deadline_at_s - self._clock.monotonic_s(),
                 memory=self._memory,
+                copies=KEPT_TURN_COPIES if exchange.route.retains_conversation else 1,
             )
             if exchange.route.retains_conversation or inbound.has_token_budget():
                 await self._wait_until_ready(turns=True)
--- a/lentilroad/soak/world.py
+++ b/lentilroad/soak/world.py
@@ -28,6 +28,7 @@
 RETENTION_S = 60.0
 GRACE_S = 4.0
 WORKER_SLOTS = 8
+MEMORY_MB = 256
 READY_POLL_S = 0.1
 START_INTERVAL_S = 0.05
 # Loopback networks of concurrent runs, and pairs of third octets within each.
@@ -65,7 +66,7 @@
         folder: Path,
         store_address: str,
         added_in: str = "",
-        memory_mb: int = 256,
+        memory_mb: int = MEMORY_MB,
         file_descriptors: int = 4100,
     ) -> None:
         self.role = role
@@ -190,6 +191,8 @@
         Retention of conversations.
     worker_slots : int
         Slots of each worker.
+    memory_mb : int
+        Memory of each machine.
     """
 
     def __init__(
@@ -199,9 +202,11 @@
         source: random.Random,
         retention_s: float = RETENTION_S,
         worker_slots: int = WORKER_SLOTS,
+        memory_mb: int = MEMORY_MB,
     ) -> None:
         self.retention_s = retention_s
         self._worker_slots = worker_slots
+        self._memory_mb = memory_mb
         self.store = MetadataStoreStandIn()
         self.log = RunLog()
         self.entries: list[ProgramProcess] = []
@@ -275,6 +280,7 @@
             folder=self._folder,
             store_address=link.address,
             added_in=region,
+            memory_mb=self._memory_mb,
         )
         process.store_link = link
         await process.start()
--- a/tests/conversation/test_full_disks.py
+++ b/tests/conversation/test_full_disks.py
@@ -13,7 +13,7 @@
 from lentilroad.conversation import journal as journal_module
 from lentilroad.conversation.allowance import GrantManager
 from lentilroad.conversation.const import DISK_MAX_USED_SHARE
-from lentilroad.conversation.errors import DiskRefusedError
+from lentilroad.conversation.errors import DiskRefusedError, MemoryFullError
 from lentilroad.conversation.journal import Journal
 from lentilroad.conversation.messages import Grant, PutTurns, Reserve
 from lentilroad.errors import BudgetExhaustedError
@@ -218,3 +218,26 @@
         assert cluster.nodes["store-0"].stores("a")
 
     run_virtual(run())
+
+
+def test_memory_full_of_turns_refuses_long_ones_and_keeps_the_member() -> None:
+    """Guard against kept turns that end a storage process by its memory."""
+
+    async def run() -> None:
+        cluster = StorageCluster(regions=REGIONS, losses_tolerated=1)
+        await cluster.form()
+        replica = cluster.nodes["store-0"].replica
+        replica._memory_bytes = 1_000_000
+        long = b"x" * 400_000
+        await replica.put_turns(PutTurns(turns=[turn("a", input=long)]))
+        # The same turn again, as after a lost reply, takes no further room.
+        await replica.put_turns(PutTurns(turns=[turn("a", input=long[:300_000])]))
+        assert replica.turn_bytes() == 300_000 + len(b"out-a\n")
+        with pytest.raises(MemoryFullError):
+            await replica.put_turns(PutTurns(turns=[turn("b", input=long + long)]))
+        await replica.put_turns(PutTurns(turns=[turn("c", input=b"x" * 1000)]))
+        assert replica.writable()
+        assert cluster.nodes["store-0"].stores("a")
+        assert cluster.nodes["store-0"].stores("c")
+
+    run_virtual(run())
--- a/tests/fakes/entry_process.py
+++ b/tests/fakes/entry_process.py
@@ -21,6 +21,22 @@
 RETRY_S = 0.05
 
 
+def peak_mb(program: ProgramProcess) -> float:
+    """Return the largest resident size of a running process so far in MiB."""
+    status = Path(f"/proc/{_pid(program)}/status").read_text()
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError("the process has ended")
+
+
+def _pid(program: ProgramProcess) -> int:
+    process = program.process
+    assert process is not None
+    assert process.returncode is None, f"{program.name} has ended"
+    return process.pid
+
+
 @dataclass(slots=True, kw_only=True)
 class EntryProcess:
     """Running entry and the figures that the kernel keeps of it."""
@@ -30,14 +46,11 @@
 
     def peak_mb(self) -> float:
         """Return the largest resident size so far in MiB."""
-        for line in self._status().splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) / 1024
-        raise AssertionError("the process has ended")
+        return peak_mb(self.program)
 
     def open_sockets(self) -> int:
         """Return the number of descriptors that are sockets."""
-        folder = Path(f"/proc/{self._pid()}/fd")
+        folder = Path(f"/proc/{_pid(self.program)}/fd")
         count = 0
         for descriptor in folder.iterdir():
             try:
@@ -46,15 +59,6 @@
                 continue  # Closed meanwhile.
         return count
 
-    def _status(self) -> str:
-        return Path(f"/proc/{self._pid()}/status").read_text()
-
-    def _pid(self) -> int:
-        process = self.program.process
-        assert process is not None
-        assert process.returncode is None, "the entry has ended"
-        return process.pid
-
     async def answer(self, port: int, path: str, accepted: set[int]) -> int:
         """Send one request until it has an accepted status, and return that status."""
         status = 0
--- a/tests/fakes/hostile_crowd.py
+++ b/tests/fakes/hostile_crowd.py
@@ -17,6 +17,8 @@
 SLOW_START_BYTES = 2 * MIB
 SLOW_INTERVAL_S = 0.05
 AHEAD_REQUESTS = 2000
+TINY_CHUNKS = 256 * 1024
+TURN_BYTES = MIB
 FIELD_REQUESTS = 20
 # Leaves the head of 1,700 fields below 16 KiB.
 MANY_FIELDS = b"".join(b"f%d: 1\r\n" % (number % 100) for number in range(1700))
@@ -119,6 +121,37 @@
     await _send(caller, _head(path, "X: " + "x" * 8000)[:-2])
 
 
+async def complete_turn(caller: socket.socket, path: str) -> None:
+    """Send a complete turn of legal size whose conversation is kept."""
+    request_id = f"turn-{caller.fileno()}"
+    fields = f"Content-Length: {TURN_BYTES}\r\n"
+    head = _head(path, fields).replace(b"a1", request_id.encode())
+    await _send(caller, head)
+    await _send(caller, _CONTENT[:TURN_BYTES])
+    await asyncio.get_running_loop().sock_recv(caller, 1)
+
+
+async def tiny_chunks(caller: socket.socket, path: str) -> None:
+    """Send chunks of one byte without an end."""
+    await _send(caller, _head(path, "Transfer-Encoding: chunked\r\n"))
+    chunks = b"1\r\nx\r\n" * 4096
+    for _ in range(TINY_CHUNKS // 4096):
+        await _send(caller, chunks)
+
+
+async def fields_ahead(caller: socket.socket, path: str) -> None:
+    """Send many requests of many short fields without reading the answers."""
+    head = _head(path, "".join(f"f{n}: 1\r\n" for n in range(120)), "GET")
+    await _send(caller, head * AHEAD_REQUESTS)
+
+
+async def endless_head(caller: socket.socket, path: str) -> None:
+    """Send long lines of a head without an end."""
+    await _send(caller, _head(path)[:-2])
+    for number in range(100):
+        await _send(caller, b"X%d: " % number + bytes(b"x" * 16000) + b"\r\n")
+
+
 async def silence(caller: socket.socket, path: str) -> None:
     """Send nothing."""
 
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -7,13 +7,19 @@
 
 from __future__ import annotations
 
+import random
 from pathlib import Path
 
 import pytest
 
-from lentilroad.soak.world import CLIENT_PORT, METRICS_PORT, READY_PORT
+from lentilroad.soak.world import CLIENT_PORT, METRICS_PORT, READY_PORT, World
 from tests.fakes import hostile_crowd as crowds
-from tests.fakes.entry_process import EntryProcess, entry_process
+from tests.fakes.entry_process import (
+    START_GUARD_S,
+    EntryProcess,
+    entry_process,
+    peak_mb,
+)
 
 MEMORY_MB = 128
 PEAK_MB = MEMORY_MB * 7 / 8
@@ -22,6 +28,8 @@
 RESERVED_DESCRIPTORS = 200
 CROWD = 60
 LARGE_CROWD = 300
+# Each machine of a storage member; the disk takes more than that is free of it.
+STORAGE_MEMORY_MB = 96
 SLOW_ANSWER_BYTES = 2 * 2**20
 CLIENT_LIMITS = {
     "MaxHeaderBytes": 16384,
@@ -47,6 +55,9 @@
     crowds.slow_sending,
     crowds.half_way,
     crowds.half_a_head,
+    crowds.tiny_chunks,
+    crowds.fields_ahead,
+    crowds.endless_head,
 )
 
 
@@ -114,6 +125,29 @@
     )
 
 
+async def test_kept_turns_leave_the_memory_of_storage_members(tmp_path: Path) -> None:
+    """Guard against conversations that fill the memory of the storage members."""
+    world = World(folder=tmp_path, source=random.Random(1), memory_mb=STORAGE_MEMORY_MB)
+    try:
+        await world.start(entries=1)
+        await world.wait_ready(START_GUARD_S)
+        ip = world.entries[0].ip
+        async with crowds.open_crowd(
+            caller=crowds.complete_turn,
+            ip=ip,
+            port=CLIENT_PORT,
+            path="/turn/x",
+            size=2 * CROWD,
+        ):
+            entry = EntryProcess(program=world.entries[0], memory_mb=STORAGE_MEMORY_MB)
+            await entry.answer(CLIENT_PORT, "/read/ordinary", {200})
+            await entry.answer(READY_PORT, "/readiness", {200})
+        for process in [*world.entries, *world.storages]:
+            assert peak_mb(process) <= STORAGE_MEMORY_MB * 7 / 8, process.name
+    finally:
+        await world.close()
+
+
 @pytest.mark.parametrize("door", ["route", "readiness", "metrics"])
 async def test_silent_connections_leave_descriptors(tmp_path: Path, door: str) -> None:
     """Guard against connections that send nothing and use up the descriptors."""
