Treat a status outside 200 to 599 of a service as an unknown outcome

Cause: the client of services in the own interface returned statuses such as 000 and 600 as answers.

Change: the outcome is unknown, as of a lost answer.

Result: the three new cases failed before and pass.

--- a/lentilroad/adapters/service.py
+++ b/lentilroad/adapters/service.py
@@ -14,6 +14,9 @@
 )
 from lentilroad.errors import OutcomeUnknownError, OverloadedError, UnavailableError
 
+# Highest status of an answer in HTTP.
+MAX_STATUS = 599
+
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -104,4 +107,9 @@
                 f"service refused the operation ({response.status}); try again later",
                 retry_after_ms=1000,
             )
+        if not 200 <= response.status <= MAX_STATUS:
+            raise OutcomeUnknownError(
+                f"service answered with status {response.status}; look the operation "
+                "up at the service before repeating it"
+            )
         return ServiceReply(status=response.status, payload=data)
--- a/tests/adapters/test_service.py
+++ b/tests/adapters/test_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from contextlib import asynccontextmanager
 
@@ -13,6 +14,7 @@
 from lentilroad.errors import OutcomeUnknownError, OverloadedError, UnavailableError
 from lentilroad.standins.service import ServiceStandIn, build_application
 from tests.fakes.http import serving
+from tests.fakes.raw_server import RawRequest, raw_server
 
 
 @asynccontextmanager
@@ -71,6 +73,20 @@
         assert reply.status == 400
 
 
+@pytest.mark.parametrize("status", ["000", "600", "999"])
+async def test_status_outside_the_protocol_is_unknown(status: str):
+    """Guards against a status of a service in trouble that reaches callers (MIXED)."""
+
+    async def answer(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(f"HTTP/1.1 {status} x\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+
+    async with raw_server(answer) as server:
+        client = HttpService(base_url=f"http://{server.address}")
+        with pytest.raises(OutcomeUnknownError):
+            await client.call(operation="book", payload=b"{}", call_id="call-1")
+        await client.close()
+
+
 async def test_closed_port_is_not_run():
     """Guards against an unknown outcome when nothing was sent."""
     client = HttpService(base_url="http://127.0.0.1:1")
