--- a/tests/fakes/entry_process.py
+++ b/tests/fakes/entry_process.py
@@ -74,15 +74,20 @@
         return status
 
     async def _status_of_request(self, port: int, path: str) -> int:
+        request = (
+            f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            "Lentilroad-Attempt-Id: ordinary\r\n\r\n"
+        )
+        return await self.status_of(port, request.encode())
+
+    async def status_of(self, port: int, request: bytes) -> int:
+        """Send one request and return its status; 0 without an answer."""
         try:
             reader, writer = await asyncio.open_connection(self.program.ip, port)
         except ConnectionError:
             return 0
         try:
-            writer.write(
-                f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                "Lentilroad-Attempt-Id: ordinary\r\n\r\n".encode()
-            )
+            writer.write(request)
             async with asyncio.timeout(ANSWER_GUARD_S / 4):
                 line = await reader.readline()
             return int(line.split()[1]) if line else 0
--- a/tests/fakes/hostile_crowd.py
+++ b/tests/fakes/hostile_crowd.py
@@ -41,6 +41,16 @@
     await asyncio.get_running_loop().sock_sendall(caller, data)
 
 
+def largest_body(*, in_chunks: bool) -> bytes:
+    """Return a complete request with a body of the largest legal size."""
+    content = bytes(BODY_BYTES)
+    if not in_chunks:
+        return _head("/read/x", f"Content-Length: {BODY_BYTES}\r\n") + content
+    chunk = b"%x\r\n" % MIB + content[:MIB] + b"\r\n"
+    chunks = chunk * (BODY_BYTES // MIB) + b"0\r\n\r\n"
+    return _head("/read/x", "Transfer-Encoding: chunked\r\n") + chunks
+
+
 async def body_in_one_piece(caller: socket.socket, path: str) -> None:
     """Send a body of legal size and stop one byte before its end."""
     await _send(caller, _head(path, f"Content-Length: {BODY_BYTES}\r\n"))
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -104,6 +104,21 @@
     await _play(folder=tmp_path, caller=caller, door=door)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+async def test_single_body_of_the_largest_size_is_served(
+    tmp_path: Path, framing: str
+) -> None:
+    """Guard against bounds that refuse a request inside the limits in calm."""
+    async with entry_process(
+        folder=tmp_path,
+        memory_mb=MEMORY_MB,
+        file_descriptors=FILE_DESCRIPTORS,
+        client_limits=CLIENT_LIMITS,
+    ) as entry:
+        body = crowds.largest_body(in_chunks=framing == "chunks")
+        assert await entry.status_of(CLIENT_PORT, body) == 200
+
+
 async def test_large_crowd_of_bodies_leaves_memory_and_service(tmp_path: Path) -> None:
     """Guard against bytes that are held for each of many connections."""
     await _play(
