--- a/lentilroad/connection/http_exchange.py
+++ b/lentilroad/connection/http_exchange.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import cast
 
 import httptools
@@ -14,6 +15,7 @@
     HTTP_BUFFER_LIMIT_BYTES,
     HTTP_OVERHEAD_BYTES_PER_BODY_BYTE,
     HTTP_OVERHEAD_LIMIT_BYTES,
+    HTTP_READ_BYTES,
     HTTP_SINGLE_WRITE_MAX_BYTES,
     HTTP_SKIPPED_LIMIT_BYTES,
     TCP_KEEPALIVE_IDLE_S,
@@ -26,6 +28,10 @@
 
 Header = tuple[bytes, bytes]
 
+# A read ends before the next one begins. Bounds what one read adds to the chunks that
+# wait for a slow reader; uvloop would read 256 KB at once.
+_READ_BUFFER = memoryview(bytearray(HTTP_READ_BYTES))
+
 
 class ExchangeBrokenError(LentilroadError):
     """The connection failed before the response was complete.
@@ -82,7 +88,7 @@
         return self._values.get(lower_name)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One HTTP/1.1 connection to a server, created by `open_connection`.
 
     Bytes received while no exchange is open, or after a complete response, belong to
@@ -124,6 +130,14 @@
         if connected is not None:
             enable_dead_peer_detection(connected)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the next read, which all connections share."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes of one read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes as part of the open exchange."""
         if self._parser is None:
@@ -179,6 +193,10 @@
         if not self._complete:
             self._fail(f"the connection was lost ({error or 'closed by the server'})")
         self._wake_reader()
+        # The parser refers to this object, and `expects` to the request with its body:
+        # both would be held until the garbage collector finds them.
+        self._parser = None
+        self._expects = None
 
     async def exchange(
         self,
@@ -283,7 +301,13 @@
         status = self._parser.get_status_code()
         head = ResponseHead(status=status, headers=self._headers)
         self._headers = []
-        if 100 <= status < 200:
+        if not _is_valid_status(status):
+            # Skips the rest of this read.
+            self._skipping = True
+            self._fail(f"the server responded with status {status:03}")
+            self.abort()
+            return
+        if status < 200:
             self._skipping = True
             return
         if self._expects is not None and not self._expects(head):
@@ -360,6 +384,11 @@
             waiter.set_result(None)
 
 
+def _is_valid_status(status: int) -> bool:
+    """Return whether a response may have a status; no request asks for an upgrade."""
+    return 100 <= status <= 599 and status != HTTPStatus.SWITCHING_PROTOCOLS
+
+
 def enable_dead_peer_detection(connected: socket.socket) -> None:
     """Let the kernel close a connection whose peer no longer responds."""
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
 
+from lentilroad.connection.byte_budget import SMALL_HOLD_BYTES, Hold
+from lentilroad.connection.byte_pieces import BytePieces
 from lentilroad.connection.http_exchange import Header, HttpConnection, ResponseHead
 from lentilroad.errors import LentilroadError, UpstreamError
 from lentilroad.membership.crash_messages import Fingerprint
@@ -68,6 +71,8 @@
         State of the request's program; None if the configuration has no customers.
     rank : tuple of float or None
         Sort key among waiting requests; None for the order without customers.
+    body_hold, answer_hold : Hold or None
+        Room for the request's body and for a large answer.
     """
 
     inbound: InboundRequest
@@ -94,6 +99,8 @@
     within_quota: bool = False
     program: ProgramState | None = None
     rank: tuple[float, ...] | None = None
+    body_hold: Hold | None = None
+    answer_hold: Hold | None = None
 
     def stop_by(self, time_s: float) -> bool:
         """Move the deadline to the end of the process; return whether it is earlier."""
@@ -136,10 +143,24 @@
 
 
 async def read_response(
-    connection: HttpConnection, head: ResponseHead, protocol: UpstreamProtocol
+    connection: HttpConnection,
+    head: ResponseHead,
+    protocol: UpstreamProtocol,
+    make_room: Callable[[int], Awaitable[None]] | None = None,
 ) -> BufferedResponse:
     """Read the complete body of a response.
 
+    Parameters
+    ----------
+    connection : HttpConnection
+        Connection after the head of the response.
+    head : ResponseHead
+        Head of the response.
+    protocol : UpstreamProtocol
+        Decodes the headers.
+    make_room : callable, optional
+        Waits for room for the bytes of a large body; the instance waits meanwhile.
+
     Raises
     ------
     ExchangeBrokenError
@@ -147,14 +168,25 @@
     UpstreamError
         The body is larger than an entry buffers in memory.
     """
-    body = bytearray()
+    body = BytePieces()
     while chunk := await connection.next_chunk():
-        body += chunk
-        if len(body) > ANSWER_MAX_BYTES:
+        body.add(chunk)
+        if make_room is not None and body.size_bytes > SMALL_HOLD_BYTES:
+            await make_room(_announced_bytes(head))
+            make_room = None
+        if body.size_bytes > ANSWER_MAX_BYTES:
             raise UpstreamError(
                 f"the response is larger than {ANSWER_MAX_BYTES} bytes",
                 outcome="unknown",
             )
     return BufferedResponse(
-        status=head.status, headers=protocol.forwarded_headers(head), body=bytes(body)
+        status=head.status, headers=protocol.forwarded_headers(head), body=body.join()
     )
+
+
+def _announced_bytes(head: ResponseHead) -> int:
+    """Return the size that a head announces, or the largest one that is read."""
+    length = head.value(b"content-length")
+    if length is None or not length.isdigit():
+        return ANSWER_MAX_BYTES
+    return min(int(length), ANSWER_MAX_BYTES)
