Learn the speed of instances from the gaps between events only

The time to the first event of a stream also depends on the distance, the prompt and short queues, so that learned costs moved turns between instances of the same speed, away from their cached conversations. Only the time between events counts now.

--- a/lentilroad/membership/stream_times.py
+++ b/lentilroad/membership/stream_times.py
@@ -1,8 +1,7 @@
 """Times that instances need for their streams, learned from the streams themselves.
 
 Engines of one service differ in speed, and some slow down before all of their slots are
-taken. Each stream shows both: the time until its first event grows when requests wait
-in the engine, and the time between its events grows with the load of its batch.
+taken. Each stream shows both by the time between its events.
 """
 
 from __future__ import annotations
@@ -121,7 +120,7 @@
         self._mean.events = _mix(self._mean.events, events, EVENT_COUNT_WEIGHT)
 
     def ratio(self, times: StreamTimes) -> float:
-        """Return an instance's stream time as a multiple of the service's mean.
+        """Return an instance's time between events as a multiple of the service's mean.
 
         What is known of an instance without recent streams fades towards 1, so that
         one that was slow is tried again, at first with few requests.
@@ -133,10 +132,11 @@
             or times.event_gap_s == 0.0
         ):
             return 1.0
-        mean_stream_s = mean.stream_s(mean.events)
-        if mean_stream_s == 0.0:
+        if mean.event_gap_s == 0.0:
             return 1.0
-        ratio = times.stream_s(mean.events) / mean_stream_s
+        # The time to the first event also depends on the distance, on the prompt and on
+        # short queues, and would move work between equal instances.
+        ratio = times.event_gap_s / mean.event_gap_s
         ratio = max(1.0 / MAX_RATIO, min(MAX_RATIO, ratio))
         return 1.0 + (ratio - 1.0) * self._certainty(times)
 
