Start entries without customers without the modules for them

The modules of quotas, shared load and admission take a tenth of an entry's start-up time, which callers wait for after a restart. Entries and storage members now load them only if the settings allow for customers.

--- a/lentilroad/membership/slot_shares.py
+++ b/lentilroad/membership/slot_shares.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import math
-import statistics
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -271,7 +270,8 @@
             for name, report in self._reports.items()
             if name == entry or now_s - report.received_s <= expiry_s
         }
-        slots = int(statistics.median_high(r.slots for r in recent.values()))
+        known_slots = sorted(report.slots for report in recent.values())
+        slots = known_slots[len(known_slots) // 2]
         known_entries = max(
             len(self._reports), *(r.known_entries for r in recent.values())
         )
--- a/lentilroad/platform/entry.py
+++ b/lentilroad/platform/entry.py
@@ -50,9 +50,6 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.ingress import Ingress
 from lentilroad.request.permits import PermitClient
-from lentilroad.request.program_policy import ProgramPolicy
-from lentilroad.request.quota import QuotaClient
-from lentilroad.request.shared_load import SharedLoad
 from lentilroad.version.customers import Customer
 
 SWEEP_INTERVAL_S = 0.25
@@ -118,29 +115,36 @@
         own_address=own_address,
         clock=clock,
     )
-    quotas = QuotaClient(
-        call=relayed_calls.call,
-        coordinators=lambda key: storage.coordinators(key, ""),
-        member_count=storage.member_count,
-        entry_count=lambda: len(relayed_calls.entries()),
-        customers=lambda: _customers(state),
-        version=lambda: state.table.version if state.table else 0,
-        own_address=own_address,
-        clock=clock,
-        bounds=settings.bounds.quotas,
-        count=lambda name, customer: telemetry.count(name, customer=customer),
-    )
-    shared_load = SharedLoad(
-        call=relayed_calls.call,
-        coordinators=lambda service: storage.coordinators(service, ""),
-        other_entries=relayed_calls.entries,
-        competing=lambda service: (
-            state.table is not None and state.table.callers_compete(service)
-        ),
-        directory=directory,
-        own_address=own_address,
-        clock=clock,
-    )
+    quotas = shared_load = None
+    if settings.has_customers:
+        # Loading these modules would delay the start of entries without customers.
+        from lentilroad.request.program_policy import ProgramPolicy
+        from lentilroad.request.quota import QuotaClient
+        from lentilroad.request.shared_load import SharedLoad
+
+        quotas = QuotaClient(
+            call=relayed_calls.call,
+            coordinators=lambda key: storage.coordinators(key, ""),
+            member_count=storage.member_count,
+            entry_count=lambda: len(relayed_calls.entries()),
+            customers=lambda: _customers(state),
+            version=lambda: state.table.version if state.table else 0,
+            own_address=own_address,
+            clock=clock,
+            bounds=settings.bounds.quotas,
+            count=lambda name, customer: telemetry.count(name, customer=customer),
+        )
+        shared_load = SharedLoad(
+            call=relayed_calls.call,
+            coordinators=lambda service: storage.coordinators(service, ""),
+            other_entries=relayed_calls.entries,
+            competing=lambda service: (
+                state.table is not None and state.table.callers_compete(service)
+            ),
+            directory=directory,
+            own_address=own_address,
+            clock=clock,
+        )
     dispatcher = Dispatcher(
         directory=directory,
         clock=clock,
@@ -181,6 +185,14 @@
     suspicions = SuspicionReporter(
         call=peers.call, entries=relayed_calls.entries, directory=directory, clock=clock
     )
+    programs = None
+    if shared_load is not None:
+        programs = ProgramPolicy(
+            clock=clock,
+            load=shared_load.load,
+            waiting=dispatcher.waiting_by_customer,
+            telemetry=telemetry,
+        )
     ingress = Ingress(
         wait_until_ready=wait_until_can_serve,
         on_unresponsive=suspicions.report,
@@ -195,12 +207,7 @@
         clock=clock,
         telemetry=telemetry,
         stopping=lambda: state.stopping,
-        programs=ProgramPolicy(
-            clock=clock,
-            load=shared_load.load,
-            waiting=dispatcher.waiting_by_customer,
-            telemetry=telemetry,
-        ),
+        programs=programs,
         keys_confirmed=lambda: _is_recent(
             lists.copies[CONFIGURATION_KEY], settings.bounds.revoke_s
         ),
@@ -213,13 +220,10 @@
     telemetry.add_gauge("rate_limited_upstreams", directory.rate_limited_count)
     telemetry.add_gauge("leaving_upstreams", directory.leaving_count)
     telemetry.add_gauge("slow_upstreams", directory.slow_count)
-    telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
     telemetry.add_gauge("waiting_requests", dispatcher.waiting_total)
-    telemetry.add_gauge("load_reports", lambda: shared_load.reports)
     telemetry.add_gauge("reported_crashes", lambda: suspects.reported_crashes)
     telemetry.add_gauge("suspected_requests", suspects.suspected_count)
     telemetry.add_gauge("banned_requests", suspects.banned_count)
-    telemetry.add_gauge("quota_customers_refused", quotas.limited_count)
 
     lists = ListExchange(
         copies=_list_copies(state, directory, dispatcher, storage, clock),
@@ -279,8 +283,6 @@
         ),
         relayed_calls.announce_regularly(storage.addresses),
         suspects.synchronize_regularly(),
-        quotas.report_regularly(),
-        shared_load.report_regularly(dispatcher.own_loads, dispatcher.dispatch_waiting),
         run_periodically(grant_manager.release_idle_grants, SWEEP_INTERVAL_S, clock),
         run_periodically(
             lambda: _sweep_directory(directory, dispatcher),
@@ -288,6 +290,16 @@
             clock,
         ),
     ]
+    if shared_load is not None and quotas is not None:
+        telemetry.add_gauge("slot_allowance", shared_load.total_allowance)
+        telemetry.add_gauge("load_reports", lambda: shared_load.reports)
+        telemetry.add_gauge("quota_customers_refused", quotas.limited_count)
+        background += [
+            quotas.report_regularly(),
+            shared_load.report_regularly(
+                dispatcher.own_loads, dispatcher.dispatch_waiting
+            ),
+        ]
     log_event("started", client_address=settings.client_address)
     await run_until(
         background,
--- a/lentilroad/platform/settings.py
+++ b/lentilroad/platform/settings.py
@@ -52,6 +52,8 @@
         Whether the whole deployment starts for the first time, with empty disks.
     losses_tolerated : int
         Number of instances with disks whose simultaneous loss loses no data.
+    has_customers : bool
+        Whether customers may compete for the upstreams of this deployment.
     """
 
     node: str
@@ -67,6 +69,7 @@
     data_folder: Path | None
     first_start: bool
     losses_tolerated: int
+    has_customers: bool
     memory_mb: int
     file_descriptors: int
     disk_mb: int
@@ -146,6 +149,7 @@
         data_folder=Path(folder) if folder else None,
         first_start=bool(document.get("Bootstrap", False)),
         losses_tolerated=int(_number(document, "FaultTolerance.Machines")),
+        has_customers="tenants" in document.get("Contracts", ["tenants"]),
         memory_mb=int(_number({"Limits": limits}, "Limits.MemoryMb")),
         file_descriptors=int(
             _number(
--- a/lentilroad/platform/storage.py
+++ b/lentilroad/platform/storage.py
@@ -54,7 +54,6 @@
 from lentilroad.membership.list_messages import COMPARE_LISTS, ListItem
 from lentilroad.membership.load_reports import REPORT_LOAD, LoadCoordinator
 from lentilroad.membership.quota_messages import REPORT_QUOTAS
-from lentilroad.membership.quotas import QuotaCoordinator
 from lentilroad.membership.rate_limits import ACQUIRE_PERMITS, RateLimitCoordinator
 from lentilroad.platform.configuration import (
     CONFIGURATION_KEY,
@@ -147,8 +146,10 @@
             current_map.member_list, disk_id, instance_id, zone
         ),
     )
-    quotas: QuotaCoordinator | None = None
+    quotas = None
     if settings.bounds.quotas is not None:
+        from lentilroad.membership.quotas import QuotaCoordinator
+
         quotas = QuotaCoordinator(clock=clock, bounds=settings.bounds.quotas)
     load_coordinator = LoadCoordinator(
         clock=clock,
--- a/lentilroad/request/exchange.py
+++ b/lentilroad/request/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -17,9 +18,11 @@
 from lentilroad.request.const import ANSWER_MAX_BYTES, FIRST_EVENT_MARGIN_S
 from lentilroad.request.fingerprints import request_fingerprint
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
-from lentilroad.request.program_tracker import ProgramState
 from lentilroad.version.routes import Route, RouteKind
 
+if TYPE_CHECKING:
+    from lentilroad.request.program_tracker import ProgramState
+
 
 class NotExecutedError(LentilroadError):
     """The instance stated that it has not run the request."""
--- a/lentilroad/request/ingress.py
+++ b/lentilroad/request/ingress.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from aiohttp import web
@@ -40,8 +40,6 @@
 from lentilroad.request.dispatch import Dispatcher
 from lentilroad.request.exchange import BufferedResponse, Exchange, read_response
 from lentilroad.request.inbound import InboundRequest, UpstreamProtocol
-from lentilroad.request.program_policy import ProgramPolicy
-from lentilroad.request.quota import QuotaClient
 from lentilroad.request.refusals import (
     StoppingError,
     refusal_status,
@@ -51,6 +49,11 @@
 from lentilroad.request.work import PlacementRequest
 from lentilroad.version.routes import RouteKind, RouteTable, request_priority
 
+if TYPE_CHECKING:
+    # Entries without customers do not load these modules.
+    from lentilroad.request.program_policy import ProgramPolicy
+    from lentilroad.request.quota import QuotaClient
+
 # Finish time that is assumed for programs that state none.
 DEFAULT_FINISH_S = 3600.0
 # The body of a turn that is kept is also encoded, sent to storage members and cached.
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -222,3 +222,17 @@
     """Guard against a request that a worker would run without an id (UNASKED)."""
     with pytest.raises(InvalidRequestError):
         decode_request("GET", "/", [(b"Host", b"h")])
+
+
+@pytest.mark.parametrize(
+    ("contracts", "expected"),
+    [({}, True), ({"Contracts": ["base"]}, False), ({"Contracts": ["tenants"]}, True)],
+)
+def test_settings_tell_whether_there_are_customers(
+    contracts: dict[str, list[str]], expected: bool
+) -> None:
+    """Guard against entries that leave out quotas where settings name no contracts."""
+    document = copy.deepcopy(SETTINGS)
+    document.pop("Contracts", None)
+    document.update(contracts)
+    assert decode_settings(document).has_customers is expected
