--- a/lentilroad/membership/stream_times.py
+++ b/lentilroad/membership/stream_times.py
@@ -130,10 +130,9 @@
             times.streams < MIN_INSTANCE_STREAMS
             or mean.streams < MIN_SERVICE_STREAMS
             or times.event_gap_s == 0.0
+            or mean.event_gap_s == 0.0
         ):
             return 1.0
-        if mean.event_gap_s == 0.0:
-            return 1.0
         # The time to the first event also depends on the distance, on the prompt and on
         # short queues, and would move work between equal instances.
         ratio = times.event_gap_s / mean.event_gap_s
