--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -178,11 +178,17 @@
         Time that each event takes.
     work_s : float
         Time that each other answer takes.
+    crashes_on : bytes
+        Body that crashes the worker as soon as it begins to run; empty for none.
     """
 
     def __init__(self, *, worker_id: str, runs: list[Run], record: Record) -> None:
         self.worker_id = worker_id
         self.address = ""
+        self.crashes_on = b""
+        # Called after a crash; starts the worker again.
+        self.on_crash: Callable[[], None] = lambda: None
+        self.starts = 0
         self.event_gap_s = 0.01
         self.work_s = 0.02
         self._runs = runs
@@ -191,10 +197,12 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port, or after a crash on the former one."""
+        host, _, port = (self.address or "127.0.0.1:0").rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
+        self.starts += 1
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -246,6 +254,11 @@
             )
         )
         self._record.line(f"worker {self.worker_id} runs {request_id} {target}")
+        if self.crashes_on and body == self.crashes_on:
+            self._record.line(f"worker {self.worker_id} crashes")
+            self.close()
+            self.on_crash()
+            return False
         sealed = f"HTTP/1.1 200 OK\r\n{echo}Lentilroad-Response-Seal: {request_id}\r\n"
         if "/turn/" not in target:
             await asyncio.sleep(self.work_s)
@@ -521,7 +534,7 @@
             "State": state,
             "ColdRemainingMs": 0,
             "Sequence": 1,
-            "born": 1_700_000_000_000 + number,
+            "born": 1_700_000_000_000 + 1000 * worker.starts + number,
         }
         await self.store.put(f"servers/{worker.worker_id}", json.dumps(entry).encode())
 
