--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -36,6 +36,13 @@
 DISK_MB = 380
 CLIENT_TIMEOUT_S = 8.0
 READ_BYTES = 65536
+# Bounds of demands/cpd-porting-grown.toml.
+TENANT_BOUNDS = """RevokeWhenPartitioned = false
+RevokeMs = 5000
+QuotaWindowS = 5
+QuotaOverage = 0.1
+QuotaSlack = 20
+"""
 
 
 class CannotRunError(Exception):
@@ -314,8 +321,10 @@
         ports: tuple[int, int, int, int],
         folder: Path,
         record: Record,
+        with_tenants: bool = False,
     ) -> None:
         self.role = role
+        self._with_tenants = with_tenants
         kind = "frontend" if role == "entry" else "storage"
         self.region = REGIONS[number % len(REGIONS)]
         self.name = f"{kind}-{self.region}-a-{number // len(REGIONS) + 1}"
@@ -388,6 +397,8 @@
             )
         )
         assert self.store_link is not None
+        more_contracts = ', "tenants"' if self._with_tenants else ""
+        more_bounds = TENANT_BOUNDS if self._with_tenants else ""
         return f"""NodeName = "{self.name}"
 Role = "{self.role}"
 MachineClass = "{kind}"
@@ -403,7 +414,7 @@
 Entry = "virtual_ip"
 HeartbeatIntervalMs = 1200
 {disk}Contracts = ["base", "drain", "config", "cost", "recover", "agent", "stream", \
-"engine", "platform"]
+"engine", "platform"{more_contracts}]
 [Zones]
 {zones}
 [ListenAddresses]
@@ -435,7 +446,7 @@
 AgainS = 0
 FinishS = 10
 SettleMs = 1000
-[Platform]
+{more_bounds}[Platform]
 Address = "{self.store_link.address}"
 form = "kv"
 WritesPerS = 400
@@ -477,6 +488,8 @@
         self.source = random.Random(seed)
         self.store = MetadataStoreStandIn()
         self.runs: list[Run] = []
+        # Time at which each request was sent, by its id.
+        self.sent_s: dict[str, float] = {}
         self.workers: list[Worker] = []
         self.entries: list[Machine] = []
         self.storages: list[Machine] = []
@@ -486,7 +499,13 @@
         self._network = f"127.{self.source.randint(20, 220)}"
         self._ports = _free_ports(f"{self._network}.1.1")
 
-    async def prepare(self, *, entries: int = 6, storages: int = 3) -> None:
+    async def prepare(
+        self,
+        *,
+        entries: int = 6,
+        storages: int = 3,
+        tenants: list[dict[str, object]] | None = None,
+    ) -> None:
         """Start the stand-ins, write the first configuration, create the machines."""
         await self.store.start("127.0.0.1", 0)
         for number in range(6):
@@ -494,7 +513,7 @@
             await worker.start()
             self.workers.append(worker)
             await self.register_worker(number)
-        await self.store.put("op/config", configuration(version=1))
+        await self.store.put("op/config", configuration(version=1, tenants=tenants))
         for role, count, machines in (
             ("storage", storages, self.storages),
             ("entry", entries, self.entries),
@@ -508,6 +527,7 @@
                     ports=self._ports,
                     folder=self._folder,
                     record=self.record,
+                    with_tenants=tenants is not None,
                 )
                 machine.store_link = await self.open_link(self.store.address)
                 machines.append(machine)
@@ -638,6 +658,7 @@
                 "Lentilroad-Previous-Turn",
             )
         }
+        self.sent_s[request_id] = self.record.elapsed_s()
         self.record.line(f"client sends {request_id} to {entry.name} {target} {notes}")
         try:
             async with asyncio.timeout(leave_after_s or CLIENT_TIMEOUT_S):
@@ -732,8 +753,11 @@
     return ports[0], ports[1], ports[2], ports[3]
 
 
-def configuration(*, version: int) -> bytes:
+def configuration(
+    *, version: int, tenants: list[dict[str, object]] | None = None
+) -> bytes:
     """Return the operator's configuration: turns, charges and lookups."""
+    more = {} if tenants is None else {"Tenants": tenants}
     routes = [
         {
             "Name": prefix.strip("/").replace("/", "-"),
@@ -758,6 +782,7 @@
     ]
     return json.dumps(
         {
+            **more,
             "Version": version,
             "Routes": routes,
             "Services": [
