--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -87,6 +87,8 @@
         self.address = ""
         self.delay_s = delay_s
         self.refusing = False
+        # Monotonic time of the first connection that was reset.
+        self.first_refused_s: float | None = None
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -115,6 +117,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.refusing:
+            self.first_refused_s = self.first_refused_s or time.monotonic()
             writer.transport.abort()
             return
         host, _, port = self._target.rpartition(":")
@@ -564,6 +567,19 @@
             await machine.start()
             await asyncio.sleep(0.02)
 
+    async def end_turning_away(self, machines: list[Machine], for_s: float) -> None:
+        """Let the store serve machines again `for_s` after it first refused one."""
+        links = [machine.store_link for machine in machines]
+        first_s: float | None = None
+        while first_s is None or time.monotonic() < first_s + for_s:
+            await asyncio.sleep(0.02)
+            refused_s = [link.first_refused_s for link in links if link is not None]
+            first_s = min((s for s in refused_s if s is not None), default=None)
+        for link in links:
+            assert link is not None
+            link.refusing = False
+        self.record.line("the store serves all machines again")
+
     async def wait_ready(self, entries: list[Machine], timeout_s: float) -> bool:
         """Wait until entries report that they are ready; return whether they do."""
         deadline_s = time.monotonic() + timeout_s
